--- /dev/null
+++ b/src/codec/bulletin.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+#include "codec/bulletin.h"
+
+#include <rapidjson/error/en.h>
+
+#include <algorithm>
+
+namespace hillshore::codec {
+namespace {
+
+constexpr std::array<std::string_view, 3> kPhases{"active", "leaving", "left"};
+
+/// Unix milliseconds to the clock that the whole program uses: Unix time in microseconds. All Unix times of
+/// the bulletin pass here.
+Time from_unix_ms(std::int64_t ms) { return std::chrono::milliseconds(ms); }
+
+int place(const Fields& fields, const char* name, const std::vector<std::string>& names) {
+  const std::string value = fields.text(name);
+  const auto found = std::find(names.begin(), names.end(), value);
+  if (found == names.end()) fields.fail(name, "has the unknown value '" + value + "'");
+  return static_cast<int>(found - names.begin());
+}
+
+ListedMember read_member(const Fields& fields, const Names& names) {
+  ListedMember listed;
+  Member& m = listed.member;
+  m.id = fields.text("id");
+  listed.address = fields.text("host_port", "");
+  m.state = static_cast<MemberState>(fields.word("phase", kPhases));
+  m.weight = fields.number("size", 1);
+  m.cell = fields.small("cell", 0);
+  m.zone = place(fields, "locality", names.zones);
+  m.kind = place(fields, "flavor", names.kinds);
+  m.started = from_unix_ms(fields.integer("up_since_ms", 0));
+  return listed;
+}
+
+}  // namespace
+
+BulletinEvent read_bulletin_event(const Fields& fields, const Names& names) {
+  BulletinEvent event;
+  event.number = fields.integer("no");
+  if (fields.find("roster") != nullptr) {
+    const Fields list = fields.object("roster");
+    Roster roster;
+    roster.complete = list.boolean("complete", false);
+    for (const Fields& entry : list.objects("members")) roster.members.push_back(read_member(entry, names));
+    event.roster = std::move(roster);
+  }
+  if (fields.find("recall") != nullptr) {
+    const Fields purge = fields.object("recall");
+    Recall recall;
+    if (purge.find("item") != nullptr) {
+      recall.object = object_id(purge, "item");
+    }
+    recall.group = purge.integer("lot", 0);
+    recall.issued = from_unix_ms(purge.integer("issued")) + std::chrono::milliseconds(1);
+    event.recall = recall;
+  }
+  return event;
+}
+
+BulletinEvent parse_bulletin_event(std::string_view json, const Names& names) {
+  rapidjson::Document document;
+  // Iterative: guards against nesting that would use up the stack.
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError()) {
+    throw FieldError(std::string("field '': not JSON: ") +
+                     rapidjson::GetParseError_En(document.GetParseError()));
+  }
+  return read_bulletin_event(Fields(document, 0), names);
+}
+
+}  // namespace hillshore::codec
--- /dev/null
+++ b/src/codec/cache_lines.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The line protocol to the caches: commands out, answers in. No I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hillshore::codec {
+
+/// Bounds on what a cache may send: its lines, and the bytes of an object.
+constexpr std::size_t kMaxLine = 8 * 1024;
+constexpr std::size_t kMaxBody = 1024 * 1024;
+
+/// Builds a list of fields, `name=value,name=value`, or `-`.
+class FieldList {
+ public:
+  void add(std::string_view name, std::string_view value);
+  [[nodiscard]] std::string_view text() const { return text_.empty() ? std::string_view("-") : text_; }
+
+ private:
+  std::string text_;
+};
+
+/// The value of a field in such a list, if it is there.
+std::optional<std::string_view> field_in(std::string_view list, std::string_view name);
+
+std::string write_serve(std::string_view id, const FieldList& fields, std::string_view body);
+std::string write_cancel(std::string_view id);
+std::string write_gauges(std::string_view tag);
+
+enum class AnswerWord { hit, valid, none, shed, fault, late, pong, sick };
+
+struct CacheAnswer {
+  std::string id;
+  AnswerWord word = AnswerWord::fault;
+  std::string fields;
+  std::string body;
+};
+
+enum class LineError { none, line_too_long, not_an_answer, unknown_word, body_too_long, body_not_ended };
+
+/// Takes answers out of a stream of bytes, however it is split.
+class AnswerReader {
+ public:
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  std::optional<CacheAnswer> next();
+  [[nodiscard]] LineError error() const { return error_; }
+
+ private:
+  std::optional<CacheAnswer> fail(LineError error);
+  bool read_head(std::string_view line);
+
+  std::string buffer_;
+  std::size_t used_ = 0;
+  std::optional<CacheAnswer> open_;  // its line is in, its body not yet
+  std::size_t body_size_ = 0;
+  LineError error_ = LineError::none;
+};
+
+}  // namespace hillshore::codec
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: MIT
+#include "config/config.h"
+
+#include <rapidjson/error/en.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "settings_reader.h"
+
+namespace hillshore::config {
+namespace {
+
+constexpr int kLeastSockets = 64;  // fewer leave no room for clients beside the connections to the caches
+
+std::string from_environment(const std::map<std::string, std::string>& environment, const char* key) {
+  const auto found = environment.find(key);
+  return found == environment.end() ? std::string() : found->second;
+}
+
+void check_address(const std::string& key, const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  int port = 0;
+  bool good = colon != std::string::npos && colon > 0;
+  if (good) {
+    const char* end = address.data() + address.size();
+    const auto [stop, problem] = std::from_chars(address.data() + colon + 1, end, port);
+    good = problem == std::errc{} && stop == end && port > 0 && port < 65536;
+  }
+  if (!good) throw FieldError("field '" + key + "': should be host:port, not '" + address + "'");
+}
+
+std::vector<std::string> texts(const Fields& fields, const char* name) {
+  std::vector<std::string> all;
+  const rapidjson::Value& list = fields.need(name);
+  if (!list.IsArray()) fields.fail(name, "should be a list");
+  for (const auto& item : list.GetArray()) {
+    if (!item.IsString()) fields.fail(name, "should hold strings");
+    all.emplace_back(item.GetString(), item.GetStringLength());
+  }
+  return all;
+}
+
+Time positive(const Fields& fields, const char* name, Time absent) {
+  const Time value = fields.time(name, absent);
+  if (value <= Time{0}) fields.fail(name, "should be more than 0");
+  return value;
+}
+
+void read_own_settings(Config& config, const Fields& settings) {
+  config.settings = read_settings(settings);
+  if (config.settings.classes.empty()) settings.fail("request_classes", "should name a class at least");
+  config.names.zones = texts(settings, "azs");
+  config.names.kinds = texts(settings, "kinds");
+  const Fields bounds = settings.object_or_empty("bounds");
+  config.connection_idle = positive(bounds, "conn_idle", config.connection_idle);
+  config.connect_timeout = positive(bounds, "connect_timeout", config.connect_timeout);
+  config.requests_per_connection = bounds.small("multiplex", config.requests_per_connection);
+  if (config.requests_per_connection < 1) bounds.fail("multiplex", "should be 1 or more");
+  if (config.settings.max_attempts < 1) bounds.fail("attempts_cap", "should be 1 or more");
+}
+
+std::uint64_t read_seed(const Fields& root) {
+  if (root.find("seed") == nullptr) return 0;
+  return root.need("seed").IsString() ? object_id(root, "seed")
+                                      : static_cast<std::uint64_t>(root.integer("seed"));
+}
+
+}  // namespace
+
+Config parse(const std::string& json, const std::map<std::string, std::string>& environment) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError()) {
+    throw FieldError("field '': not JSON at byte " + std::to_string(document.GetErrorOffset()) + ": " +
+                     rapidjson::GetParseError_En(document.GetParseError()));
+  }
+  const Fields root(document, 0);
+  Config config;
+  const std::string name = from_environment(environment, "GW_NAME");
+  const std::string listen = from_environment(environment, "GW_LISTEN");
+  config.name = name.empty() ? root.text("name") : name;
+  config.listen = listen.empty() ? root.text("listen") : listen;
+  check_address(listen.empty() ? "listen" : "GW_LISTEN", config.listen);
+  config.bulletin = root.text("bulletin");
+  check_address("bulletin", config.bulletin);
+  config.seed = read_seed(root);
+  const Fields limits = root.object_or_empty("limits");
+  config.max_sockets = limits.small("sockets", config.max_sockets);
+  if (config.max_sockets < kLeastSockets)
+    limits.fail("sockets", "should be " + std::to_string(kLeastSockets) + " or more");
+  read_own_settings(config, root.object("settings"));
+  const Fields known = root.object_or_empty("known");
+  config.known_number = known.integer("no", 0);
+  if (known.find("items") != nullptr) {
+    for (const Fields& item : known.objects("items"))
+      config.known.push_back(codec::read_bulletin_event(item, config.names));
+  }
+  return config;
+}
+
+Config load(const std::map<std::string, std::string>& environment) {
+  const std::string path = from_environment(environment, "GW_CONFIG");
+  if (path.empty()) throw FieldError("field 'GW_CONFIG': is missing");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw FieldError("field 'GW_CONFIG': can't read '" + path + "'");
+  return parse(text.str(), environment);
+}
+
+}  // namespace hillshore::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The one place where configuration is read, checked and given defaults.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "codec/bulletin.h"
+
+namespace hillshore::config {
+
+struct Config {
+  std::string name;
+  std::string listen;    ///< host:port
+  std::string bulletin;  ///< host:port
+  std::uint64_t seed = 0;
+  int max_sockets = 1024;
+  Settings settings;
+  codec::Names names;
+  Time connection_idle{std::chrono::seconds(30)};
+  Time connect_timeout{std::chrono::milliseconds(400)};
+  int requests_per_connection = 32;
+  std::int64_t known_number = 0;
+  std::vector<codec::BulletinEvent> known;
+};
+
+/// Reads the file that GW_CONFIG names; GW_NAME and GW_LISTEN, where set, stand above it.
+/// Throws FieldError, whose text names the faulty key.
+Config load(const std::map<std::string, std::string>& environment);
+/// The same from the text of such a file.
+Config parse(const std::string& json, const std::map<std::string, std::string>& environment);
+
+}  // namespace hillshore::config
--- /dev/null
+++ b/src/edge/bulletin_link.cpp
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: MIT
+#include "edge/bulletin_link.h"
+
+namespace hillshore::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view kPath = "/bulletins";
+// A comment comes each second: a link without a byte for this long is dead, though nobody says so.
+constexpr Time kSilence = 3500ms;
+constexpr Time kConnectWithin = 1s;
+constexpr Time kFirstWait = 50ms;  // before the next try to connect; doubles up to the longest
+constexpr Time kLongestWait = 800ms;
+
+}  // namespace
+
+BulletinLink::BulletinLink(Context& context, const config::Config& config)
+    : context_(context),
+      address_(config.bulletin),
+      names_(config.names),
+      last_(config.known_number),
+      wait_(kFirstWait) {}
+
+void BulletinLink::open() {
+  if (id_ != 0 || stopped_) return;
+  id_ = context_.connect(address_);
+  up_ = false;
+  opened_ = heard_ = context_.now;
+  events_ = 0;
+  reader_ = {};
+}
+
+void BulletinLink::connected() {
+  up_ = true;
+  heard_ = context_.now;
+  context_.write(id_, codec::write_stream_request(address_, kPath, std::to_string(last_)));
+}
+
+std::vector<codec::BulletinEvent> BulletinLink::bytes(std::string_view bytes) {
+  heard_ = context_.now;
+  std::vector<codec::BulletinEvent> events;
+  reader_.feed(bytes);
+  while (const auto read = reader_.next()) {
+    wait_ = kFirstWait;
+    try {
+      codec::BulletinEvent event = codec::parse_bulletin_event(read->data, names_);
+      if (event.number <= last_) continue;  // told already: an event is never applied twice
+      // Guards against a gap: a lost purge or drain would break a rule. The next connection asks for what is
+      // missing.
+      if (event.number != last_ + 1) {
+        context_.log("bulletin gap last=" + std::to_string(last_) + " got=" + std::to_string(event.number));
+        end(CloseReason::bad_stream, true);
+        return events;
+      }
+      last_ = event.number;
+      ++events_;
+      events.push_back(std::move(event));
+    } catch (const FieldError& problem) {
+      // Guards against one unreadable event ending the program or blocking those after it: it is passed over.
+      context_.log(std::string("bulletin unreadable event id=") + read->id + " " + problem.what());
+      std::int64_t number = 0;
+      std::from_chars(read->id.data(), read->id.data() + read->id.size(), number);
+      if (number == last_ + 1) last_ = number;
+    }
+  }
+  if (reader_.error() != codec::StreamError::none) end(CloseReason::bad_stream, true);
+  return events;
+}
+
+void BulletinLink::lost(CloseReason reason) { end(reason, false); }
+
+void BulletinLink::sweep() {
+  if (id_ == 0) return;
+  if (!up_ && context_.now - opened_ >= kConnectWithin) {
+    end(CloseReason::connect_timeout, true);
+  } else if (up_ && context_.now - heard_ >= kSilence) {
+    end(CloseReason::silent, true);
+  }
+}
+
+void BulletinLink::stop() {
+  stopped_ = true;
+  if (id_ != 0) end(CloseReason::stopping, true);
+}
+
+void BulletinLink::end(CloseReason reason, bool close_it) {
+  context_.ended({"bulletin", id_, opened_, events_, {}}, reason, close_it);
+  id_ = 0;
+  if (stopped_) return;
+  context_.timers.add(context_.now + wait_, {Due::bulletin_connect, {}, 0, 0});
+  wait_ = std::min(wait_ * 2, kLongestWait);
+}
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/bulletin_link.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The connection to the bulletin: kept up, read without gaps or repeats.
+#pragma once
+
+#include <vector>
+
+#include "codec/event_stream.h"
+#include "edge/context.h"
+
+namespace hillshore::edge {
+
+class BulletinLink {
+ public:
+  BulletinLink(Context& context, const config::Config& config);
+
+  /// Opens the connection; called at the start and when Due::bulletin_connect is.
+  void open();
+  [[nodiscard]] bool owns(ConnectionId connection) const { return connection != 0 && connection == id_; }
+  void connected();
+  std::vector<codec::BulletinEvent> bytes(std::string_view bytes);
+  /// The connection failed or was ended by the other side.
+  void lost(CloseReason reason);
+  /// Ends a connection that has been silent too long, or did not come up.
+  void sweep();
+  void stop();
+
+ private:
+  void end(CloseReason reason, bool close_it);
+
+  Context& context_;
+  std::string address_;
+  codec::Names names_;
+  std::int64_t last_;
+  ConnectionId id_ = 0;
+  bool up_ = false;
+  bool stopped_ = false;
+  Time opened_{0}, heard_{0};
+  Time wait_;
+  std::uint64_t events_ = 0;
+  codec::EventStreamReader reader_;
+};
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/context.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What the parts of the reducer share: the time of this input, the effects so far, timers and connection
+/// ids.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "edge/reducer.h"
+#include "timer_queue.h"
+
+namespace hillshore::edge {
+
+enum class Due {
+  module_wake,      // a Wake of the module's
+  request_expired,  // id: the request
+  attempt_timeout,  // id, number: the attempt
+  late_ending,      // an ending that was held back a moment
+  connect_timeout,  // connection
+  sweep,            // idle and silent connections
+  bulletin_connect,
+  stop_serving
+};
+struct Timer {
+  Due what = Due::sweep;
+  std::string id;
+  int number = 0;
+  ConnectionId connection = 0;
+};
+
+/// What a connection leaves in the log when it ends.
+struct ConnectionRecord {
+  std::string_view kind;  ///< front, member or bulletin
+  ConnectionId id = 0;
+  Time opened{0};
+  std::uint64_t requests = 0;
+  std::string member;  ///< of a member's connection
+};
+
+struct Context {
+  Time now{0};
+  std::vector<Effect> effects;
+  TimerQueue<Timer> timers;
+  ConnectionId last_connection = 0;
+  int sockets = 0;  ///< connections open or coming up
+  int max_sockets = 0;
+
+  void log(std::string line) { effects.push_back(Log{std::move(line)}); }
+  void write(ConnectionId connection, std::string bytes) {
+    effects.push_back(Write{connection, std::move(bytes)});
+  }
+  ConnectionId connect(const std::string& address) {
+    ++sockets;
+    effects.push_back(Connect{++last_connection, address});
+    return last_connection;
+  }
+  /// The end of a connection: closes it, unless the other side already has, and logs why.
+  void ended(const ConnectionRecord& record, CloseReason reason, bool close_it) {
+    --sockets;
+    if (close_it) effects.push_back(Close{record.id});
+    std::string line = "closed kind=" + std::string(record.kind) + " conn=" + std::to_string(record.id) +
+                       " reason=" + std::string(name_of(reason)) +
+                       " requests=" + std::to_string(record.requests) +
+                       " lived_ms=" + std::to_string((now - record.opened).count() / 1000);
+    if (!record.member.empty()) line += " member=" + record.member;
+    log(std::move(line));
+  }
+};
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/pool.cpp
@@ -0,0 +1,389 @@
+// SPDX-License-Identifier: MIT
+#include "edge/pool.h"
+
+#include <algorithm>
+
+namespace hillshore::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Time kBeforePeer = 2s;  // idle connections are closed this much before the peer does
+constexpr Time kAskedWithin = 250ms;
+// A link with work given up on it and nothing heard for this long takes nothing new: the machine may have
+// vanished, and only a new connection tells.
+constexpr Time kDoubtAfter = 1500ms;
+// An attempt that this side ended counts as out until the other side has read of it, and the next attempt
+// travels on another connection: its ending is told a moment later.
+constexpr Time kCancelTravels = 10ms;
+constexpr std::size_t kMostLinks = 24;  // to one member
+
+std::int64_t whole_ms(Time span) { return std::chrono::floor<std::chrono::milliseconds>(span).count(); }
+
+std::optional<LoadReport> read_report(std::string_view text) {
+  LoadReport report;
+  while (!text.empty()) {
+    const std::string_view item = text.substr(0, text.find(';'));
+    text.remove_prefix(std::min(item.size() + 1, text.size()));
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos) continue;
+    double value = 0;
+    const std::string_view digits = item.substr(colon + 1);
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), value).ec != std::errc{}) continue;
+    const std::string_view name = item.substr(0, colon);
+    if (name == "inflight") report.in_flight = value;
+    if (name == "queue") report.queued = value;
+    if (name == "util") report.busy = value;
+    if (name == "x0") report.hit_share = value;
+    if (name == "x1") report.link_fill = value;
+  }
+  return report;
+}
+
+}  // namespace
+
+Pool::Pool(Context& context, const config::Config& config)
+    : context_(context),
+      connect_timeout_(config.connect_timeout),
+      idle_(std::max(config.connection_idle - kBeforePeer, config.connection_idle / 2)),
+      per_link_(static_cast<std::size_t>(config.requests_per_connection)),
+      report_via_(config.settings.report_via) {}
+
+// ---- Members ----
+
+void Pool::apply(const codec::Roster& roster) {
+  if (roster.complete) {  // who is not in it is gone
+    for (auto& [id, entry] : members_) entry.member.state = MemberState::gone;
+  }
+  for (const codec::ListedMember& listed : roster.members) {
+    MemberEntry& entry = members_[listed.member.id];
+    // Guards against an id whose process or address is another one now: the old connections, which may be
+    // silent for ever, are not its own.
+    if (!entry.links.empty() &&
+        (entry.member.started != listed.member.started || entry.address != listed.address)) {
+      for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_replaced, true);
+    }
+    entry.member = listed.member;
+    if (!listed.address.empty()) entry.address = listed.address;
+  }
+  for (auto& [id, entry] : members_) {
+    if (entry.member.state != MemberState::gone) continue;
+    for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_left, true);
+  }
+  for (auto& [id, link] : links_) drop_queued(id);
+}
+
+bool Pool::takes_new(const std::string& member) const {
+  const auto found = members_.find(member);
+  return found != members_.end() && found->second.member.state == MemberState::running;
+}
+
+/// Guards the rule on drains: what waits for a connection goes neither to nor by way of a member that does
+/// not run any more. It never ran.
+void Pool::drop_queued(ConnectionId id) {
+  Link& link = links_.at(id);
+  std::vector<Key> gone;
+  for (const Key& key : link.waiting) {
+    const Order& order = attempts_.at(key).order;
+    if (!takes_new(order.member) || !takes_new(order.source)) gone.push_back(key);
+  }
+  for (const Key& key : gone) finish(key, Ending::unsent);
+}
+
+/// Guards the rule on purges: an attempt decided before the purge and not written yet must not be served from
+/// an older copy.
+void Pool::purged(const codec::Recall& recall) {
+  for (auto& [key, attempt] : attempts_) {
+    Order& order = attempt.order;
+    if (attempt.written || (recall.object ? *recall.object != order.object : recall.group != order.group))
+      continue;
+    const Time since = std::max(Time{1}, context_.now - recall.issued);
+    order.oldest = order.oldest.count() == 0 ? since : std::min(order.oldest, since);
+  }
+}
+
+// ---- Attempts and probes ----
+
+bool Pool::doubtful(const Link& link) const {
+  return link.unanswered > 0 && context_.now - link.heard >= kDoubtAfter;
+}
+
+ConnectionId Pool::link_for(MemberEntry& entry, const std::string& request) {
+  ConnectionId best = 0;
+  std::size_t best_load = 0;
+  bool best_up = false;
+  for (const ConnectionId id : entry.links) {
+    const Link& link = links_.at(id);
+    const std::size_t load = link.open.size() + link.waiting.size();
+    const bool same = link.open.count(request) != 0;
+    if (same || load >= per_link_ || doubtful(link)) continue;
+    if (best == 0 || std::pair(!link.up, load) < std::pair(!best_up, best_load)) {
+      best = id;
+      best_load = load;
+      best_up = link.up;
+    }
+  }
+  if (best != 0) return best;
+  if (entry.links.size() >= kMostLinks || context_.sockets + 16 >= context_.max_sockets) return 0;
+  const ConnectionId id = context_.connect(entry.address);
+  Link& link = links_[id];
+  link.member = entry.member.id;
+  link.opened = link.active = link.heard = context_.now;
+  entry.links.insert(id);
+  context_.timers.add(context_.now + connect_timeout_, {Due::connect_timeout, {}, 0, id});
+  return id;
+}
+
+void Pool::start(Order order) {
+  const Key key{order.request, order.number};
+  const auto found = members_.find(order.member);
+  ConnectionId id = 0;
+  Ending failure = Ending::unsent;
+  if (takes_new(order.member) && takes_new(order.source) && order.until > context_.now) {
+    id = link_for(found->second, order.request);
+    failure = Ending::unreachable;
+  }
+  const Time until = order.until;
+  attempts_[key] = {std::move(order), id, false};
+  if (id == 0) {
+    finish(key, failure);
+    return;
+  }
+  context_.timers.add(until, {Due::attempt_timeout, key.first, key.second, 0});
+  links_.at(id).waiting.push_back(key);
+  flush(id);
+}
+
+std::string Pool::render(const Order& order) const {
+  codec::FieldList fields = order.fields;
+  fields.add("max", std::to_string(std::max<std::int64_t>(1, whole_ms(order.until - context_.now))));
+  if (order.source != order.member) fields.add("from", order.source);
+  if (order.oldest.count() > 0)
+    fields.add("oldest", std::to_string(std::max<std::int64_t>(1, whole_ms(order.oldest))));
+  return codec::write_serve(order.request, fields, order.body);
+}
+
+/// Writes what waits once all before it has gone: a send counts from its first byte, so what is left here can
+/// still be checked against drains and purges.
+void Pool::flush(ConnectionId id) {
+  Link& link = links_.at(id);
+  if (!link.up || link.writing) return;
+  drop_queued(id);
+  std::string out = std::exchange(link.commands, {});
+  while (!link.waiting.empty()) {
+    const Key key = link.waiting.front();
+    link.waiting.pop_front();
+    Outstanding& attempt = attempts_.at(key);
+    if (attempt.order.until <= context_.now) {
+      finish(key, Ending::unsent);
+      continue;
+    }
+    attempt.written = true;
+    if (link.open.empty()) link.heard = context_.now;  // silence counts from when something was asked
+    link.open[key.first] = key.second;
+    ++link.requests;
+    out += render(attempt.order);
+    attempt.order.body.clear();
+  }
+  if (out.empty()) return;
+  link.writing = true;
+  link.active = context_.now;
+  context_.write(id, std::move(out));
+}
+
+void Pool::finish(const Key& key, Ending ending, codec::CacheAnswer answer) {
+  const auto found = attempts_.find(key);
+  if (found == attempts_.end()) return;
+  Outstanding& attempt = found->second;
+  if (const auto link = links_.find(attempt.link); link != links_.end()) {
+    if (attempt.written) {
+      link->second.open.erase(key.first);
+    } else {
+      std::erase(link->second.waiting, key);
+    }
+  }
+  const Time took = context_.now - attempt.order.decided;
+  ended_.push_back({key.first, key.second, attempt.order.member, ending, took, std::move(answer)});
+  attempts_.erase(found);
+}
+
+/// The ending of an attempt that this side broke off.
+void Pool::finish_later(const Key& key, Ending ending) {
+  finish(key, ending);
+  held_back_.push_back(std::move(ended_.back()));
+  ended_.pop_back();
+  context_.timers.add(context_.now + kCancelTravels, {Due::late_ending, {}, 0, 0});
+}
+
+void Pool::late_endings() {
+  if (held_back_.empty()) return;
+  ended_.push_back(std::move(held_back_.front()));
+  held_back_.pop_front();
+}
+
+void Pool::abandon(const Key& key, Ending ending) {
+  const auto found = attempts_.find(key);
+  if (found == attempts_.end()) return;
+  if (!found->second.written) {
+    finish(key, Ending::unsent);
+    return;
+  }
+  const ConnectionId id = found->second.link;
+  Link& link = links_.at(id);
+  ++link.unanswered;
+  link.commands += codec::write_cancel(key.first);
+  if (ending == Ending::cancelled) {
+    finish(key, ending);
+  } else {
+    finish_later(key, ending);
+  }
+  flush(id);
+}
+
+void Pool::cancel(const std::string& request, int number) { abandon({request, number}, Ending::cancelled); }
+void Pool::timed_out(const std::string& request, int number) {
+  abandon({request, number}, Ending::timed_out);
+}
+
+void Pool::probe(const std::string& member) {
+  const auto found = members_.find(member);
+  const ConnectionId id = found != members_.end() && takes_new(member) ? link_for(found->second, {}) : 0;
+  if (id == 0) {
+    probed_.push_back({member, false, Time{0}, std::nullopt});
+    return;
+  }
+  const std::string tag = std::string("g").append(std::to_string(++last_probe_));
+  Link& link = links_.at(id);
+  link.probes[tag] = context_.now;
+  link.commands += codec::write_gauges(tag);
+  flush(id);
+}
+
+bool Pool::take_ended(Ended& ended) {
+  if (ended_.empty()) return false;
+  ended = std::move(ended_.front());
+  ended_.pop_front();
+  return true;
+}
+
+bool Pool::take_probed(Probed& probed) {
+  if (probed_.empty()) return false;
+  probed = std::move(probed_.front());
+  probed_.pop_front();
+  return true;
+}
+
+// ---- Connections ----
+
+void Pool::connected(ConnectionId connection) {
+  Link& link = links_.at(connection);
+  link.up = true;
+  link.heard = link.active = context_.now;
+  flush(connection);
+}
+
+void Pool::bytes(ConnectionId connection, std::string_view bytes) {
+  Link& link = links_.at(connection);
+  link.heard = link.active = context_.now;
+  link.unanswered = 0;
+  link.reader.feed(bytes);
+  while (auto answer = link.reader.next()) on_answer(connection, std::move(*answer));
+  if (link.reader.error() != codec::LineError::none) {
+    // Guards against a peer that does not speak the protocol: nothing more it says can be told apart.
+    context_.log("member unreadable answer member=" + link.member +
+                 " error=" + std::to_string(static_cast<int>(link.reader.error())));
+    end(connection, CloseReason::bad_answer, true);
+  }
+}
+
+void Pool::on_answer(ConnectionId id, codec::CacheAnswer answer) {
+  Link& link = links_.at(id);
+  using codec::AnswerWord;
+  if (answer.word == AnswerWord::pong || answer.word == AnswerWord::sick) {
+    const auto probe = link.probes.find(answer.id);
+    if (probe == link.probes.end()) return;
+    const auto report = codec::field_in(answer.fields, "report");
+    probed_.push_back({link.member, answer.word == AnswerWord::pong, context_.now - probe->second,
+                       report ? read_report(*report) : std::nullopt});
+    link.probes.erase(probe);
+    return;
+  }
+  const auto open = link.open.find(answer.id);
+  if (open == link.open.end()) return;  // a late answer to what was given up
+  const Key key{open->first, open->second};
+  switch (answer.word) {
+    case AnswerWord::hit:
+    case AnswerWord::valid:
+      finish(key, Ending::served, std::move(answer));
+      break;
+    case AnswerWord::none:
+      finish(key, Ending::missing);
+      break;
+    case AnswerWord::shed:
+      finish(key, Ending::shed);
+      break;
+    case AnswerWord::late:
+      finish(key, Ending::unsent);
+      break;
+    default:
+      finish(key, Ending::error);
+  }
+}
+
+void Pool::drained(ConnectionId connection) {
+  links_.at(connection).writing = false;
+  flush(connection);
+}
+
+void Pool::lost(ConnectionId connection, CloseReason reason) { end(connection, reason, false); }
+
+void Pool::connect_overdue(ConnectionId connection) {
+  const auto found = links_.find(connection);
+  if (found != links_.end() && !found->second.up) end(connection, CloseReason::connect_timeout, true);
+}
+
+/// Ends a connection. What was written on it may have run; what was not never did.
+void Pool::end(ConnectionId id, CloseReason reason, bool close_it) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) return;
+  const Link link = std::move(found->second);
+  links_.erase(found);
+  members_.at(link.member).links.erase(id);
+  context_.ended({"member", id, link.opened, link.requests, link.member}, reason, close_it);
+  for (const Key& key : link.waiting) finish(key, link.up ? Ending::unsent : Ending::unreachable);
+  for (const auto& [request, number] : link.open) {
+    if (close_it) {
+      finish_later({request, number}, Ending::broken);
+    } else {
+      finish({request, number}, Ending::broken);
+    }
+  }
+  for (const auto& [tag, at] : link.probes)
+    probed_.push_back({link.member, false, context_.now - at, std::nullopt});
+}
+
+void Pool::sweep() {
+  std::vector<std::pair<ConnectionId, CloseReason>> due;
+  for (auto& [id, link] : links_) {
+    std::erase_if(link.probes, [&, &from = link](const auto& probe) {
+      if (context_.now - probe.second < kAskedWithin) return false;
+      probed_.push_back({from.member, false, context_.now - probe.second, std::nullopt});
+      return true;
+    });
+    const bool free =
+        link.open.empty() && link.waiting.empty() && link.probes.empty() && link.commands.empty();
+    if (!free || !link.up) continue;
+    if (doubtful(link)) {
+      due.emplace_back(id, CloseReason::silent);
+    } else if (context_.now - link.active >= idle_ || !takes_new(link.member)) {
+      due.emplace_back(id, takes_new(link.member) ? CloseReason::idle : CloseReason::member_left);
+    }
+  }
+  for (const auto& [id, reason] : due) end(id, reason, true);
+}
+
+void Pool::stop() {
+  while (!links_.empty()) end(links_.begin()->first, CloseReason::stopping, true);
+}
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/pool.h
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The connections to caches, and the attempts and probes on them.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "codec/cache_lines.h"
+#include "edge/context.h"
+
+namespace hillshore::edge {
+
+/// What one attempt asks for. The texts are the bytes that the client sent.
+struct Order {
+  std::string request;
+  int number = 0;
+  std::string member, source;
+  codec::FieldList fields;  ///< all but the ones that depend on the moment of writing
+  std::string body;
+  std::uint64_t object = 0;
+  std::int64_t group = 0;
+  Time decided{0};
+  Time until{0};   ///< nobody waits for the answer any longer
+  Time oldest{0};  ///< as decided; 0: the class's fresh time
+};
+
+/// How an attempt ended. Each Order that was handed in gives exactly one.
+struct Ended {
+  std::string request;
+  int number = 0;
+  std::string member;
+  Ending ending = Ending::unsent;
+  Time took{0};
+  codec::CacheAnswer answer;  ///< of a served one
+};
+
+class Pool {
+ public:
+  Pool(Context& context, const config::Config& config);
+
+  // ---- Members ----
+  void apply(const codec::Roster& roster);
+  void purged(const codec::Recall& recall);
+
+  // ---- Attempts and probes ----
+  void start(Order order);
+  void cancel(const std::string& request, int number);
+  void timed_out(const std::string& request, int number);
+  void probe(const std::string& member);
+  /// The next ending, oldest first; the caller tells the module of it.
+  bool take_ended(Ended& ended);
+  bool take_probed(Probed& probed);
+  /// Endings that were held back until now.
+  void late_endings();
+
+  // ---- Connections ----
+  [[nodiscard]] bool owns(ConnectionId connection) const { return links_.count(connection) != 0; }
+  void connected(ConnectionId connection);
+  void bytes(ConnectionId connection, std::string_view bytes);
+  void drained(ConnectionId connection);
+  /// The connection failed or was ended by the other side.
+  void lost(ConnectionId connection, CloseReason reason);
+  void connect_overdue(ConnectionId connection);
+  void sweep();
+  void stop();
+
+ private:
+  struct MemberEntry {
+    Member member;
+    std::string address;
+    std::set<ConnectionId> links;
+  };
+  struct Outstanding {
+    Order order;
+    ConnectionId link = 0;
+    bool written = false;
+  };
+  struct Link {
+    std::string member;
+    Time opened{0}, active{0}, heard{0};
+    bool up = false, writing = false;
+    std::uint64_t requests = 0;
+    int unanswered = 0;  ///< given up or timed out since anything was heard
+    codec::AnswerReader reader;
+    std::map<std::string, int> open;                  ///< attempts written, by request
+    std::deque<std::pair<std::string, int>> waiting;  ///< attempts not written yet
+    std::string commands;                             ///< cancels and probes to be written
+    std::map<std::string, Time> probes;
+  };
+  using Key = std::pair<std::string, int>;
+
+  ConnectionId link_for(MemberEntry& entry, const std::string& request);
+  [[nodiscard]] bool doubtful(const Link& link) const;
+  [[nodiscard]] bool takes_new(const std::string& member) const;
+  void flush(ConnectionId id);
+  std::string render(const Order& order) const;
+  void finish(const Key& key, Ending ending, codec::CacheAnswer answer = {});
+  void finish_later(const Key& key, Ending ending);
+  void drop_queued(ConnectionId id);
+  void end(ConnectionId id, CloseReason reason, bool close_it);
+  void on_answer(ConnectionId id, codec::CacheAnswer answer);
+  void abandon(const Key& key, Ending ending);
+
+  Context& context_;
+  Time connect_timeout_, idle_;
+  std::size_t per_link_;
+  ReportVia report_via_;
+  std::map<std::string, MemberEntry> members_;
+  std::map<ConnectionId, Link> links_;
+  std::map<Key, Outstanding> attempts_;
+  std::deque<Ended> ended_;
+  std::deque<Ended> held_back_;
+  std::deque<Probed> probed_;
+  std::uint64_t last_probe_ = 0;
+};
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/reducer.cpp
@@ -0,0 +1,485 @@
+// SPDX-License-Identifier: MIT
+#include "edge/reducer.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include "edge/bulletin_link.h"
+#include "edge/context.h"
+#include "edge/fronts.h"
+#include "edge/pool.h"
+
+namespace hillshore::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Time kSweepEvery = 100ms;
+constexpr Time kServeAfterStop = 1s;  // new connections and requests keep coming for some time after SIGTERM
+// A client counts its patience from when it sent the request, and the answer has a way to go as well.
+constexpr Time kTravel = 10ms;
+constexpr std::size_t kMaxText = 128;  // of an id, a key or a tag
+
+/// Whether a client's text can stand in a line to a cache as it is. Guards against a request whose fields
+/// would read there as other fields, or as a command of their own.
+bool plain(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxText && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c < 0x7f && c != ',' && c != '=';
+  });
+}
+
+bool hex16(std::string_view text) {
+  return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+         });
+}
+
+template <typename Number>
+std::optional<Number> number_of(std::string_view text) {
+  Number value{};
+  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (problem != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+/// A request that was taken and not answered yet. Texts are the bytes that the client sent.
+struct Taken {
+  ConnectionId front = 0;
+  CallTag tag = 0;
+  std::string verb, item, piece, key, held_tag, body;
+  Request request;
+  int attempts = 0;
+};
+
+class FieldReader {
+ public:
+  explicit FieldReader(const FrontFields& fields) : fields_(fields) {}
+  std::string_view text(std::string_view name) const {
+    for (const auto& [key, value] : fields_) {
+      if (key == name) return value;
+    }
+    return {};
+  }
+
+ private:
+  const FrontFields& fields_;
+};
+
+}  // namespace
+
+std::string_view name_of(CloseReason reason) {
+  static constexpr std::array<std::string_view, 14> names{
+      "peer_closed", "peer_reset", "connect_refused", "connect_timeout", "idle",
+      "bad_frame",   "bad_answer", "bad_stream",      "member_left",     "member_replaced",
+      "silent",      "backlog",    "too_many",        "stopping"};
+  return names[static_cast<std::size_t>(reason)];
+}
+
+class State::Impl {
+ public:
+  Impl(const config::Config& config, Time now)
+      : settings_(config.settings),
+        router_(config.settings, config.seed),
+        fronts_(context_),
+        pool_(context_, config),
+        bulletin_(context_, config) {
+    context_.now = now;
+    context_.max_sockets = config.max_sockets;
+    context_.log("starting name=" + config.name + " listen=" + config.listen +
+                 " known=" + std::to_string(config.known_number));
+    bool remembered = true;
+    for (const codec::BulletinEvent& event : config.known) {
+      apply(event, remembered);
+      remembered = remembered && !event.roster;
+    }
+    bulletin_.open();
+    context_.timers.add(now + kSweepEvery, {Due::sweep, {}, 0, 0});
+  }
+
+  std::vector<Effect> take(Time now, const Input& input) {
+    context_.now = std::max(context_.now, now);
+    run_timers();
+    std::visit([this](const auto& in) { on(in); }, input);
+    run_timers();
+    settle();
+    stop_when_done();
+    arm();
+    return std::exchange(context_.effects, {});
+  }
+
+ private:
+  // ---- Inputs ----
+
+  void on(const Accepted& in) {
+    context_.last_connection = std::max(context_.last_connection, in.connection);
+    fronts_.accepted(in.connection);
+  }
+
+  void on(const BytesArrived& in) {
+    if (fronts_.owns(in.connection)) {
+      for (FrontCall& call : fronts_.bytes(in.connection, in.bytes)) {
+        std::visit([&](auto& c) { on_call(in.connection, c); }, call);
+      }
+      // Guards the other connections against a stream that can't be read any further: it alone is closed.
+      if (fronts_.broken(in.connection)) end_front(in.connection, CloseReason::bad_frame, true);
+    } else if (pool_.owns(in.connection)) {
+      pool_.bytes(in.connection, in.bytes);
+    } else if (bulletin_.owns(in.connection)) {
+      for (const codec::BulletinEvent& event : bulletin_.bytes(in.bytes)) apply(event, false);
+    }
+  }
+
+  void on(const WriteDrained& in) {
+    if (fronts_.owns(in.connection)) {
+      fronts_.drained(in.connection);
+    } else if (pool_.owns(in.connection)) {
+      pool_.drained(in.connection);
+    }
+  }
+
+  void on(const Connected& in) {
+    if (pool_.owns(in.connection)) {
+      pool_.connected(in.connection);
+    } else if (bulletin_.owns(in.connection)) {
+      bulletin_.connected();
+    }
+  }
+
+  void on(const ConnectFailed& in) { lost(in.connection, CloseReason::connect_refused); }
+  void on(const Closed& in) {
+    lost(in.connection, in.reset ? CloseReason::peer_reset : CloseReason::peer_closed);
+  }
+
+  void lost(ConnectionId connection, CloseReason reason) {
+    if (fronts_.owns(connection)) {
+      end_front(connection, reason, false);
+    } else if (pool_.owns(connection)) {
+      pool_.lost(connection, reason);
+    } else if (bulletin_.owns(connection)) {
+      bulletin_.lost(reason);
+    }
+  }
+
+  void on(const TimerDue&) {}
+
+  void on(const StopAsked&) {
+    if (stopping_) return;
+    stopping_ = true;
+    context_.log("stopping open=" + std::to_string(taken_.size()));
+    context_.timers.add(context_.now + kServeAfterStop, {Due::stop_serving, {}, 0, 0});
+  }
+
+  // ---- Timers ----
+
+  void run_timers() {
+    while (const auto timer = context_.timers.pop_due(context_.now)) {
+      switch (timer->what) {
+        case Due::module_wake:
+          tell(TimerFired{std::stoll(timer->id)});
+          break;
+        case Due::request_expired:
+          expire(timer->id);
+          break;
+        case Due::attempt_timeout:
+          pool_.timed_out(timer->id, timer->number);
+          break;
+        case Due::late_ending:
+          pool_.late_endings();
+          break;
+        case Due::connect_timeout:
+          pool_.connect_overdue(timer->connection);
+          break;
+        case Due::sweep:
+          sweep();
+          break;
+        case Due::bulletin_connect:
+          bulletin_.open();
+          break;
+        case Due::stop_serving:
+          serving_ = false;
+          context_.effects.push_back(Close{kListener});
+          break;
+      }
+      settle();
+    }
+  }
+
+  void sweep() {
+    for (const auto& [connection, reason] : fronts_.overdue()) end_front(connection, reason, true);
+    pool_.sweep();
+    bulletin_.sweep();
+    context_.timers.add(context_.now + kSweepEvery, {Due::sweep, {}, 0, 0});
+  }
+
+  void arm() {
+    const auto due = context_.timers.next_due();
+    if (!due || armed_ == *due) return;
+    armed_ = *due;
+    context_.effects.push_back(ArmTimer{*due});
+  }
+
+  /// After SIGTERM: once nothing is owed any more, all connections end, and with them the program.
+  void stop_when_done() {
+    if (serving_ || !taken_.empty() || stopped_) return;
+    for (const ConnectionId connection : fronts_.quiet()) end_front(connection, CloseReason::stopping, true);
+    if (!fronts_.empty()) return;
+    stopped_ = true;
+    pool_.stop();
+    bulletin_.stop();
+    context_.log("stopped");
+  }
+
+  // ---- Clients ----
+
+  void on_call(ConnectionId front, Asked& call) {
+    FrontProtocol& protocol = *fronts_.protocol(front);
+    std::string id;
+    std::optional<Taken> taken = read_request(front, call, id);
+    if (!taken || taken_.count(id) != 0) {
+      fronts_.answer(front, protocol.failed(call.tag));
+      return;
+    }
+    if (fronts_.backed_up(front) || !serving_) {
+      fronts_.answer(front, protocol.refused(call.tag, later(settings_.max_retry_after)));
+      return;
+    }
+    fronts_.take(front, call.tag, id);
+    const Request request = taken->request;
+    taken_.emplace(id, std::move(*taken));
+    context_.timers.add(request.expires, {Due::request_expired, id, 0, 0});
+    tell(request);
+    settle();
+  }
+
+  std::optional<Taken> read_request(ConnectionId front, Asked& call, std::string& id) const {
+    const FieldReader fields(call.fields);
+    Taken taken;
+    taken.front = front;
+    taken.tag = call.tag;
+    taken.verb = fields.text("verb");
+    taken.item = fields.text("item");
+    taken.piece = fields.text("piece");
+    taken.key = fields.text("unique");
+    taken.held_tag = fields.text("ver");
+    id = fields.text("txn");
+    const auto& classes = settings_.classes;
+    const auto known = std::find_if(classes.begin(), classes.end(),
+                                    [&](const RequestClass& c) { return c.name == taken.verb; });
+    const auto limit = number_of<std::int64_t>(fields.text("limit"));
+    const auto piece = number_of<std::uint64_t>(taken.piece.empty() ? "0" : taken.piece);
+    const auto lot = number_of<std::int64_t>(fields.text("lot").empty() ? "0" : fields.text("lot"));
+    const auto kb = number_of<double>(fields.text("ram").empty() ? "0" : fields.text("ram"));
+    const bool good = call.readable && known != classes.end() && hex16(id) && hex16(taken.item) && limit &&
+                      *limit > 0 && *limit < 3'600'000 && piece && lot && *lot >= 0 && *lot <= 255 && kb &&
+                      *kb >= 0 && *kb < 1e12 && (taken.held_tag.empty() || plain(taken.held_tag)) &&
+                      (taken.key.empty() ? known->effect != hillshore::Effect::keyed : plain(taken.key));
+    if (!good) return std::nullopt;
+    Request& r = taken.request;
+    r.id = id;
+    r.request_class = static_cast<int>(known - classes.begin());
+    std::from_chars(taken.item.data(), taken.item.data() + taken.item.size(), r.object, 16);
+    r.part = *piece;
+    r.group = *lot;
+    r.kb = *kb;
+    const Time patience = std::chrono::milliseconds(*limit);
+    r.expires = context_.now + std::max(patience - kTravel, patience / 2);
+    r.write = known->never_kept;
+    r.client_retry = fields.text("second") == "1";
+    taken.body = std::move(call.body);
+    return taken;
+  }
+
+  void on_call(ConnectionId front, const GivenUp& call) { withdraw(fronts_.release(front, call.tag)); }
+
+  void on_call(ConnectionId front, const ReadinessAsked& call) {
+    fronts_.answer(front, fronts_.protocol(front)->readiness(call.tag, listed_ && !stopping_));
+  }
+
+  void on_call(ConnectionId front, const NotUnderstood& call) {
+    if (call.wants_answer) fronts_.answer(front, fronts_.protocol(front)->not_understood(call));
+  }
+
+  void end_front(ConnectionId front, CloseReason reason, bool close_it) {
+    for (const std::string& request : fronts_.end(front, reason, close_it)) withdraw(request);
+  }
+
+  /// The client waits no longer: no answer is owed.
+  void withdraw(const std::string& request) {
+    if (request.empty() || taken_.erase(request) == 0) return;
+    tell(Withdrawn{request});
+    settle();
+  }
+
+  /// Guards the rule on final answers, should the module not have given one by the time the client leaves.
+  void expire(const std::string& request) {
+    const auto found = taken_.find(request);
+    if (found == taken_.end()) return;
+    const int attempts = found->second.attempts;
+    for (int n = 0; n < attempts; ++n) pool_.timed_out(request, n);
+    answer(request, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+    tell(Withdrawn{request});
+  }
+
+  /// Gives a request its final answer, if it is still owed one.
+  template <typename Word>
+  void answer(const std::string& request, Word&& word) {
+    const auto found = taken_.find(request);
+    if (found == taken_.end()) return;
+    const ConnectionId front = found->second.front;
+    const CallTag tag = found->second.tag;
+    taken_.erase(found);
+    fronts_.release(front, tag);
+    FrontProtocol* protocol = fronts_.protocol(front);
+    if (protocol != nullptr) fronts_.answer(front, word(*protocol, tag));
+  }
+
+  static FrontFields later(Time span) {
+    const auto ms = std::chrono::floor<std::chrono::milliseconds>(span).count();
+    if (ms <= 0) return {};
+    return {{"later", std::to_string(ms)}};
+  }
+
+  // ---- The bulletin ----
+
+  void apply(const codec::BulletinEvent& event, bool remembered) {
+    if (event.roster) {
+      pool_.apply(*event.roster);
+      listed_ = listed_ || event.roster->complete;
+      MemberList list{
+          event.roster->complete ? (remembered ? ListKind::remembered : ListKind::whole) : ListKind::changes,
+          {}};
+      for (const codec::ListedMember& m : event.roster->members) list.members.push_back(m.member);
+      context_.log("list no=" + std::to_string(event.number) + " complete=" +
+                   (event.roster->complete ? "1" : "0") + " members=" + std::to_string(list.members.size()));
+      tell(list);
+    }
+    if (event.recall) {
+      pool_.purged(*event.recall);
+      tell(Purge{event.recall->object, event.recall->group,
+                 std::max(Time{0}, context_.now - event.recall->issued)});
+    }
+    settle();
+  }
+
+  // ---- The module ----
+
+  void tell(const Event& event) {
+    for (Action& action : router_.handle(context_.now, event)) {
+      std::visit([this](auto& a) { perform(a); }, action);
+    }
+  }
+
+  /// Tells the module of what has ended meanwhile, until nothing is left to tell.
+  void settle() {
+    Ended ended;
+    Probed probed;
+    while (true) {
+      if (pool_.take_ended(ended)) {
+        report(ended);
+      } else if (pool_.take_probed(probed)) {
+        tell(probed);
+      } else {
+        return;
+      }
+    }
+  }
+
+  void report(const Ended& ended) {
+    Outcome outcome;
+    outcome.request = ended.request;
+    outcome.attempt = ended.number;
+    outcome.member = ended.member;
+    outcome.ending = ended.ending;
+    outcome.took = ended.took;
+    if (ended.ending == Ending::served) {
+      answer(ended.request, [&ended](FrontProtocol& front, CallTag tag) {
+        FrontFields fields;
+        if (ended.answer.word == codec::AnswerWord::valid) fields.emplace_back("unchanged", "1");
+        if (const auto tagged = codec::field_in(ended.answer.fields, "ver"))
+          fields.emplace_back("ver", *tagged);
+        return front.served(tag, ended.answer.body, fields);
+      });
+    }
+    outcome.settled = taken_.count(ended.request) == 0;
+    tell(outcome);
+  }
+
+  void perform(Attempt& a) {
+    Order order;
+    order.request = a.request;
+    order.member = a.member;
+    order.source = a.source.empty() ? a.member : a.source;
+    order.decided = context_.now;
+    order.until = context_.now;  // unless somebody waits: then it is unsent
+    order.oldest = a.oldest;
+    if (const auto found = taken_.find(a.request); found != taken_.end()) {
+      Taken& taken = found->second;
+      order.number = taken.attempts++;
+      order.object = taken.request.object;
+      order.group = taken.request.group;
+      order.until = taken.request.expires;
+      if (a.timeout > Time{0}) order.until = std::min(order.until, context_.now + a.timeout);
+      order.body = taken.body;
+      add_fields(order.fields, taken, a);
+    }
+    pool_.start(std::move(order));
+  }
+
+  static void add_fields(codec::FieldList& fields, const Taken& taken, const Attempt& a) {
+    fields.add("profile", taken.verb);
+    fields.add("thing", taken.item);
+    if (!taken.piece.empty()) fields.add("nth", taken.piece);
+    if (!taken.key.empty()) fields.add("replay", taken.key);
+    if (!taken.held_tag.empty()) fields.add("seen", taken.held_tag);
+    if (a.rank != Rank::unkept) fields.add("rank", std::to_string(static_cast<int>(a.rank)));
+    std::string mode;
+    if (a.held_only) mode += "only-if-cached+";
+    if (a.parent_keeps_none) mode += "no-store-up+";
+    if (a.renew) mode += "refresh+";
+    if (mode.empty()) return;
+    mode.pop_back();
+    fields.add("mode", mode);
+  }
+
+  void perform(const Cancel& c) { pool_.cancel(c.request, c.attempt); }
+  void perform(const Refuse& r) {
+    answer(r.request, [&](FrontProtocol& front, CallTag tag) {
+      return front.refused(tag, later(std::min(r.retry_after, settings_.max_retry_after)));
+    });
+  }
+  void perform(const Fail& f) {
+    answer(f.request, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+  }
+  void perform(const Wake& w) {
+    context_.timers.add(context_.now + w.after, {Due::module_wake, std::to_string(w.token), 0, 0});
+  }
+  void perform(const ProbeMember& p) { pool_.probe(p.member); }
+  void perform(const FetchList&) {}      // the bulletin tells of every change by itself
+  void perform(const SubscribeList&) {}  // likewise
+  void perform(const Remark& r) { context_.log("remark " + r.text); }
+
+  Settings settings_;
+  Router router_;
+  Context context_;
+  Fronts fronts_;
+  Pool pool_;
+  BulletinLink bulletin_;
+  std::map<std::string, Taken> taken_;
+  bool listed_ = false;    // the whole list is in
+  bool stopping_ = false;  // SIGTERM has come
+  bool serving_ = true;
+  bool stopped_ = false;
+  Time armed_{0};
+};
+
+State::State(const config::Config& config, Time now) : impl_(std::make_unique<Impl>(config, now)) {}
+State::~State() = default;
+State::State(State&&) noexcept = default;
+State& State::operator=(State&&) noexcept = default;
+
+std::vector<Effect> reduce(State& state, Time now, const Input& input) {
+  return state.impl_->take(now, input);
+}
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/edge/reducer.h
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The one place where the edge proxy's state changes: (state, now, input) -> effects. It does no I/O and
+/// reads no clock, so it runs in virtual time in tests. What to do with a request is asked of the decision
+/// module (choice.h); this translates between its events and actions and the connections.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "config/config.h"
+
+namespace hillshore::edge {
+
+/// Names a connection, from its Connect or Accepted on; never used again. 0 is the listening socket.
+using ConnectionId = std::uint64_t;
+constexpr ConnectionId kListener = 0;
+
+/// Why a connection ended. Each ended connection leaves one log line with one of these; docs/oncall.md says
+/// what each means and what to do.
+enum class CloseReason {
+  peer_closed,
+  peer_reset,
+  connect_refused,
+  connect_timeout,
+  idle,
+  bad_frame,
+  bad_answer,
+  bad_stream,
+  member_left,
+  member_replaced,
+  silent,
+  backlog,
+  too_many,
+  stopping
+};
+std::string_view name_of(CloseReason reason);
+
+// ---- Inputs ----
+
+struct Accepted {
+  ConnectionId connection = 0;
+};
+struct BytesArrived {
+  ConnectionId connection = 0;
+  std::string_view bytes;
+};
+/// All that was asked to be written has gone to the system.
+struct WriteDrained {
+  ConnectionId connection = 0;
+};
+struct Connected {
+  ConnectionId connection = 0;
+};
+struct ConnectFailed {
+  ConnectionId connection = 0;
+};
+struct Closed {
+  ConnectionId connection = 0;
+  bool reset = false;
+};
+struct TimerDue {};
+struct StopAsked {};  ///< SIGTERM
+using Input =
+    std::variant<Accepted, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed, TimerDue, StopAsked>;
+
+// ---- Effects, to be carried out in order ----
+
+struct Write {
+  ConnectionId connection = 0;
+  std::string bytes;
+};
+struct Connect {
+  ConnectionId connection = 0;
+  std::string address;
+};
+/// Nothing more is told of the connection after this. Closing the listener ends the program once no
+/// connection is left.
+struct Close {
+  ConnectionId connection = 0;
+};
+/// Wants TimerDue at this time; the newest counts.
+struct ArmTimer {
+  Time at{0};
+};
+struct Log {
+  std::string line;
+};
+using Effect = std::variant<Write, Connect, Close, ArmTimer, Log>;
+
+/// The state of an edge proxy.
+class State {
+ public:
+  /// `now`, here and below: Unix time in microseconds that never runs backwards.
+  State(const config::Config& config, Time now);
+  ~State();
+  State(State&&) noexcept;
+  State& operator=(State&&) noexcept;
+
+ private:
+  friend std::vector<Effect> reduce(State& state, Time now, const Input& input);
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+std::vector<Effect> reduce(State& state, Time now, const Input& input);
+
+}  // namespace hillshore::edge
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: MIT
+// The edge proxy: configuration, reducer and sockets wired together.
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <string>
+
+#include "net/server.h"
+
+extern char** environ;
+
+int main() {
+  std::signal(SIGPIPE,
+              SIG_IGN);  // a peer that leaves while it is written to ends its connection, not the program
+  try {
+    std::map<std::string, std::string> environment;
+    for (char** entry = environ; *entry != nullptr; ++entry) {
+      const std::string text = *entry;
+      environment[text.substr(0, text.find('='))] = text.substr(std::min(text.find('=') + 1, text.size()));
+    }
+    hillshore::net::Server server(hillshore::config::load(environment));
+    server.run();
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "dahliahall: %s\n", problem.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/net/server.h
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The loop, sockets, timer and signals: feeds inputs to the reducer and carries out its effects.
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "edge/reducer.h"
+#include "net/glib_ptr.h"
+
+namespace hillshore::net {
+
+/// Unix time that never runs backwards: read once, then carried on by the steady clock.
+class Clock {
+ public:
+  [[nodiscard]] Time now() const {
+    return start_ + std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - steady_);
+  }
+
+ private:
+  std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
+  Time start_ = std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch());
+};
+
+class Server {
+ public:
+  explicit Server(const config::Config& config);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Serves until SIGTERM or SIGINT and all that was taken is answered.
+  /// Throws std::runtime_error where it can't listen.
+  void run();
+
+ private:
+  struct Connection;
+
+  void listen(const std::string& address);
+  void take(const edge::Input& input);
+  void feed(const edge::Input& input);
+  void perform(const edge::Write& write);
+  void perform(const edge::Connect& connect);
+  void perform(const edge::Close& close);
+  void perform(const edge::ArmTimer& timer);
+  void perform(const edge::Log& log);
+
+  void accept();
+  void adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting);
+  void watch(Connection& connection);
+  void ready(edge::ConnectionId id, GIOCondition condition);
+  void read(edge::ConnectionId id);
+  void flush(Connection& connection);
+  void end_if_empty();
+
+  Clock clock_;
+  edge::State state_;
+  LoopPtr loop_;
+  ObjectPtr<GSocket> listener_;
+  Source accepting_, timer_, term_, interrupt_;
+  std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
+  bool busy_ = false;
+  edge::ConnectionId last_id_ = 0;
+};
+
+}  // namespace hillshore::net
--- a/src/wire.h
+++ b/src/wire.h
@@ -4,19 +4,13 @@
 #pragma once
 
 #include <iosfwd>
-#include <map>
-#include <stdexcept>
-#include <string>
 
-#include "hillshore/choice.h"
+#include "fields.h"
 
 namespace hillshore::wire {
 
 /// What is wrong with an input line; the text names the line and the field.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using WireError = FieldError;
 
 /// Reads batches from `in` and answers them on `out` until the input ends; one Router per instance.
 /// Throws WireError where the input is malformed.
