--- a/include/hillshore/choice.h
+++ b/include/dahliahall/choice.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 /// @file
-/// The interface of hillshore's decision module (src/choice.cpp).
+/// The interface of dahliahall's decision module (src/choice.cpp).
 ///
 /// Units      Every time is in microseconds: points on a clock of the caller's that never runs
 ///            backwards, or spans. Sizes are in kilobytes.
@@ -22,7 +22,7 @@
 #include <variant>
 #include <vector>
 
-namespace hillshore {
+namespace dahliahall {
 
 using Time = std::chrono::microseconds;
 
@@ -257,4 +257,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/src/drill_main.cpp
+++ b/src/benchlink_main.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// hillshore_drill: the decision module on the simulator's wire.
+// dahliahall_benchlink: the decision module on the simulator's wire.
 #include <exception>
 #include <iostream>
 
@@ -8,9 +8,9 @@
 int main() {
   std::ios::sync_with_stdio(false);
   try {
-    hillshore::wire::serve(std::cin, std::cout);
+    dahliahall::wire::serve(std::cin, std::cout);
   } catch (const std::exception& problem) {
-    std::cerr << "hillshore_drill: " << problem.what() << '\n';
+    std::cerr << "dahliahall_benchlink: " << problem.what() << '\n';
     return 1;
   }
   return 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: MIT
 //
-// The decision module of hillshore: every decision, table and tuned value. Its interface (settings,
-// events, actions) is include/hillshore/choice.h; docs/design.md says what is kept of the design, what
+// The decision module of dahliahall: every decision, table and tuned value. Its interface (settings,
+// events, actions) is include/dahliahall/choice.h; docs/design.md says what is kept of the design, what
 // is changed and why.
 //
 // The ordinary path: the router counts its own requests for each part of an object over a moving window
 // and ranks the part gold, silver or bronze; cache and parent follow a hash order of the object, passing
 // over members at which its own requests under way reach a bound. Everything else here is a guard and
 // says what it guards against.
-#include "hillshore/choice.h"
+#include "dahliahall/choice.h"
 
 #include <algorithm>
 #include <array>
@@ -23,7 +23,7 @@
 #include "window_counter.h"
 #include "work_window.h"
 
-namespace hillshore {
+namespace dahliahall {
 namespace {
 
 using namespace std::chrono_literals;
@@ -870,4 +870,4 @@
 
 std::vector<Action> Router::handle(Time now, const Event& event) { return impl_->handle(now, event); }
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/src/codec/bulletin.cpp
+++ b/src/codec/bulletin.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 namespace {
 
 constexpr std::array<std::string_view, 3> kPhases{"active", "leaving", "left"};
@@ -71,4 +71,4 @@
   return read_bulletin_event(Fields(document, 0), names);
 }
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/bulletin.h
+++ b/src/codec/bulletin.h
@@ -10,7 +10,7 @@
 
 #include "fields.h"
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 
 /// A member as the bulletin names it, with where it listens. Zone and kind are places in the settings' lists.
 struct ListedMember {
@@ -42,4 +42,4 @@
 BulletinEvent read_bulletin_event(const Fields& fields, const Names& names);
 BulletinEvent parse_bulletin_event(std::string_view json, const Names& names);
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/cache_lines.cpp
+++ b/src/codec/cache_lines.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <utility>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 namespace {
 
 constexpr std::array<std::string_view, 8> kWords{"HIT",   "VALID", "NONE", "SHED",
@@ -101,4 +101,4 @@
   return std::exchange(open_, std::nullopt);
 }
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/cache_lines.h
+++ b/src/codec/cache_lines.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 
 /// Bounds on what a cache may send: its lines, and the bytes of an object.
 constexpr std::size_t kMaxLine = 8 * 1024;
@@ -59,4 +59,4 @@
   LineError error_ = LineError::none;
 };
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <utility>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 
 std::string write_stream_request(std::string_view host, std::string_view path,
                                  std::string_view last_event_id) {
@@ -114,4 +114,4 @@
   }
 }
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/event_stream.h
+++ b/src/codec/event_stream.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 
 constexpr std::size_t kMaxHead = 16 * 1024;
 constexpr std::size_t kMaxEvent = 1024 * 1024;
@@ -44,4 +44,4 @@
   StreamError error_ = StreamError::none;
 };
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/thrift.cpp
+++ b/src/codec/thrift.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "codec/thrift.h"
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 namespace {
 
 enum Type : std::uint8_t {
@@ -278,4 +278,4 @@
   return out.done();
 }
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/codec/thrift.h
+++ b/src/codec/thrift.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace hillshore::codec {
+namespace dahliahall::codec {
 
 /// Largest frame that is taken in: a write's body and its fields, with ample room.
 constexpr std::size_t kMaxFrame = 256 * 1024;
@@ -69,4 +69,4 @@
 std::string write_application_exception(std::int32_t seqid, std::string_view method, ApplicationError error,
                                         std::string_view text);
 
-}  // namespace hillshore::codec
+}  // namespace dahliahall::codec
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,7 +8,7 @@
 
 #include "settings_reader.h"
 
-namespace hillshore::config {
+namespace dahliahall::config {
 namespace {
 
 constexpr int kLeastSockets = 64;  // fewer leave no room for clients beside the connections to the caches
@@ -108,4 +108,4 @@
   return parse(text.str(), environment);
 }
 
-}  // namespace hillshore::config
+}  // namespace dahliahall::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,7 +9,7 @@
 
 #include "codec/bulletin.h"
 
-namespace hillshore::config {
+namespace dahliahall::config {
 
 struct Config {
   std::string name;
@@ -32,4 +32,4 @@
 /// The same from the text of such a file.
 Config parse(const std::string& json, const std::map<std::string, std::string>& environment);
 
-}  // namespace hillshore::config
+}  // namespace dahliahall::config
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "edge/bulletin_link.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 namespace {
 
 using namespace std::chrono_literals;
@@ -92,4 +92,4 @@
   wait_ = std::min(wait_ * 2, kLongestWait);
 }
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/bulletin_link.h
+++ b/src/edge/bulletin_link.h
@@ -8,7 +8,7 @@
 #include "codec/event_stream.h"
 #include "edge/context.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 class BulletinLink {
  public:
@@ -41,4 +41,4 @@
   codec::EventStreamReader reader_;
 };
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -12,7 +12,7 @@
 #include "edge/reducer.h"
 #include "timer_queue.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 enum class Due {
   module_wake,      // a Wake of the module's
@@ -70,4 +70,4 @@
   }
 };
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/front.h
+++ b/src/edge/front.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 /// Names one call on its connection.
 using CallTag = std::int32_t;
@@ -57,4 +57,4 @@
 
 std::unique_ptr<FrontProtocol> make_thrift_front();
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "edge/fronts.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 namespace {
 
 using namespace std::chrono_literals;
@@ -121,4 +121,4 @@
   return found;
 }
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/fronts.h
+++ b/src/edge/fronts.h
@@ -11,7 +11,7 @@
 #include "edge/context.h"
 #include "edge/front.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 class Fronts {
  public:
@@ -56,4 +56,4 @@
   std::size_t unsent_ = 0;
 };
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 namespace {
 
 using namespace std::chrono_literals;
@@ -386,4 +386,4 @@
   while (!links_.empty()) end(links_.begin()->first, CloseReason::stopping, true);
 }
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -12,7 +12,7 @@
 #include "codec/cache_lines.h"
 #include "edge/context.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 /// What one attempt asks for. The texts are the bytes that the client sent.
 struct Order {
@@ -118,4 +118,4 @@
   std::uint64_t last_probe_ = 0;
 };
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -10,7 +10,7 @@
 #include "edge/fronts.h"
 #include "edge/pool.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 namespace {
 
 using namespace std::chrono_literals;
@@ -273,7 +273,7 @@
     const bool good = call.readable && known != classes.end() && hex16(id) && hex16(taken.item) && limit &&
                       *limit > 0 && *limit < 3'600'000 && piece && lot && *lot >= 0 && *lot <= 255 && kb &&
                       *kb >= 0 && *kb < 1e12 && (taken.held_tag.empty() || plain(taken.held_tag)) &&
-                      (taken.key.empty() ? known->effect != hillshore::Effect::keyed : plain(taken.key));
+                      (taken.key.empty() ? known->effect != dahliahall::Effect::keyed : plain(taken.key));
     if (!good) return std::nullopt;
     Request& r = taken.request;
     r.id = id;
@@ -482,4 +482,4 @@
   return state.impl_->take(now, input);
 }
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -15,7 +15,7 @@
 
 #include "config/config.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 
 /// Names a connection, from its Connect or Accepted on; never used again. 0 is the listening socket.
 using ConnectionId = std::uint64_t;
@@ -110,4 +110,4 @@
 
 std::vector<Effect> reduce(State& state, Time now, const Input& input);
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/edge/thrift_front.cpp
+++ b/src/edge/thrift_front.cpp
@@ -2,7 +2,7 @@
 #include "codec/thrift.h"
 #include "edge/front.h"
 
-namespace hillshore::edge {
+namespace dahliahall::edge {
 namespace {
 
 constexpr std::int16_t kTrylater = 1, kAborted = 2;
@@ -64,4 +64,4 @@
 
 std::unique_ptr<FrontProtocol> make_thrift_front() { return std::make_unique<ThriftFront>(); }
 
-}  // namespace hillshore::edge
+}  // namespace dahliahall::edge
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,7 +19,7 @@
       const std::string text = *entry;
       environment[text.substr(0, text.find('='))] = text.substr(std::min(text.find('=') + 1, text.size()));
     }
-    hillshore::net::Server server(hillshore::config::load(environment));
+    dahliahall::net::Server server(dahliahall::config::load(environment));
     server.run();
   } catch (const std::exception& problem) {
     std::fprintf(stderr, "dahliahall: %s\n", problem.what());
--- a/src/net/glib_ptr.h
+++ b/src/net/glib_ptr.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <utility>
 
-namespace hillshore::net {
+namespace dahliahall::net {
 
 struct Unref {
   void operator()(gpointer object) const { g_object_unref(object); }
@@ -65,4 +65,4 @@
   GError* error_ = nullptr;
 };
 
-}  // namespace hillshore::net
+}  // namespace dahliahall::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <stdexcept>
 
-namespace hillshore::net {
+namespace dahliahall::net {
 namespace {
 
 constexpr std::size_t kReadAtOnce = 64 * 1024;
@@ -295,4 +295,4 @@
   std::fflush(stdout);
 }
 
-}  // namespace hillshore::net
+}  // namespace dahliahall::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -12,7 +12,7 @@
 #include "edge/reducer.h"
 #include "net/glib_ptr.h"
 
-namespace hillshore::net {
+namespace dahliahall::net {
 
 /// Unix time that never runs backwards: read once, then carried on by the steady clock.
 class Clock {
@@ -68,4 +68,4 @@
   edge::ConnectionId last_id_ = 0;
 };
 
-}  // namespace hillshore::net
+}  // namespace dahliahall::net
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -5,9 +5,9 @@
 
 #include "fields.h"
 
-namespace hillshore {
+namespace dahliahall {
 
 /// Throws FieldError where a field is missing or cannot be used.
 Settings read_settings(const Fields& env);
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/src/timer_queue.h
+++ b/src/timer_queue.h
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace hillshore {
+namespace dahliahall {
 
 template <typename T>
 class TimerQueue {
@@ -36,4 +36,4 @@
   std::uint64_t next_ = 0;
 };
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/src/window_counter.h
+++ b/src/window_counter.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace hillshore {
+namespace dahliahall {
 
 /// Holds the newest `capacity` entries of the last `span`; older ones leave as new ones come.
 class WindowCounter {
@@ -61,4 +61,4 @@
   std::unordered_map<std::uint64_t, std::size_t> counts_;
 };
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -15,7 +15,7 @@
 
 #include "settings_reader.h"
 
-namespace hillshore::wire {
+namespace dahliahall::wire {
 namespace {
 
 constexpr std::array<std::string_view, 3> kStates{"Running", "Stopping", "Deleted"};
@@ -258,4 +258,4 @@
   }
 }
 
-}  // namespace hillshore::wire
+}  // namespace dahliahall::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -7,7 +7,7 @@
 
 #include "fields.h"
 
-namespace hillshore::wire {
+namespace dahliahall::wire {
 
 /// What is wrong with an input line; the text names the line and the field.
 using WireError = FieldError;
@@ -16,4 +16,4 @@
 /// Throws WireError where the input is malformed.
 void serve(std::istream& in, std::ostream& out);
 
-}  // namespace hillshore::wire
+}  // namespace dahliahall::wire
--- a/src/work_window.h
+++ b/src/work_window.h
@@ -7,7 +7,7 @@
 #include <deque>
 #include <utility>
 
-namespace hillshore {
+namespace dahliahall {
 
 class WorkWindow {
  public:
@@ -31,4 +31,4 @@
   double sum_ = 0;
 };
 
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/tests/bench_free_world.h
+++ b/tests/bench_free_world.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "hillshore/choice.h"
+#include "dahliahall/choice.h"
 
-namespace hillshore::test {
+namespace dahliahall::test {
 
 using namespace std::chrono_literals;
 
@@ -138,4 +138,4 @@
   return sent.front();
 }
 
-}  // namespace hillshore::test
+}  // namespace dahliahall::test
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "hillshore/choice.h"
+#include "dahliahall/choice.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 #include "bench_free_world.h"
 
-namespace hillshore::test {
+namespace dahliahall::test {
 namespace {
 
 std::size_t final_answers(const std::vector<Action>& actions) {
@@ -598,4 +598,4 @@
 }
 
 }  // namespace
-}  // namespace hillshore::test
+}  // namespace dahliahall::test
--- a/tests/containers_test.cpp
+++ b/tests/containers_test.cpp
@@ -5,7 +5,7 @@
 #include "window_counter.h"
 #include "work_window.h"
 
-namespace hillshore {
+namespace dahliahall {
 namespace {
 
 using namespace std::chrono_literals;
@@ -59,4 +59,4 @@
 }
 
 }  // namespace
-}  // namespace hillshore
+}  // namespace dahliahall
--- a/tests/module_size_test.cpp
+++ b/tests/module_size_test.cpp
@@ -5,7 +5,7 @@
 #include <string>
 
 TEST(ModuleSize, StaysWithinTheAuditorsLimits) {
-  std::ifstream module(HILLSHORE_MODULE);
+  std::ifstream module(DAHLIAHALL_MODULE);
   ASSERT_TRUE(module.is_open());
   int filled = 0;
   std::size_t longest = 0;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -6,11 +6,11 @@
 cd "$(dirname "$0")/.."
 build=${1:-build-tests}
 
-cmake -S . -B "$build" -DCMAKE_BUILD_TYPE=Debug -DHILLSHORE_TESTS=ON -DHILLSHORE_WERROR=ON \
-  -DHILLSHORE_SANITIZE=ON
+cmake -S . -B "$build" -DCMAKE_BUILD_TYPE=Debug -DDAHLIAHALL_TESTS=ON -DDAHLIAHALL_WERROR=ON \
+  -DDAHLIAHALL_SANITIZE=ON
 cmake --build "$build" -j"$(nproc)"
 
-cmake -S . -B "$build/plain" -DHILLSHORE_DRILL=OFF -DHILLSHORE_PROXY=OFF
+cmake -S . -B "$build/plain" -DDAHLIAHALL_BENCHLINK=OFF -DDAHLIAHALL_PROXY=OFF
 cmake --build "$build/plain" -j"$(nproc)"
 cmake --install "$build/plain" --prefix "$PWD/$build/prefix"
 cmake -S examples/consumer -B "$build/consumer" -DCMAKE_PREFIX_PATH="$PWD/$build/prefix"
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <string>
 
-namespace hillshore::wire {
+namespace dahliahall::wire {
 namespace {
 
 const std::string kEnlist =
@@ -95,4 +95,4 @@
 }
 
 }  // namespace
-}  // namespace hillshore::wire
+}  // namespace dahliahall::wire
