Test the reducer and the program in one scenario language; refusals say when to come back

Seen: the scenarios showed that refusals carried no time to stay away: the module passed none. Module lines at fault: conclude() and on(Request). It now gives max_retry_after where the site hands it on. A timer that wakes a moment early could have left the loop unarmed (reducer, on(TimerDue)); it is armed anew at each wake.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -435,7 +435,7 @@
     held.arrived = now_;
     const auto c = static_cast<std::size_t>(r.request_class);
     if (c >= s_.classes.size()) {
-      actions_.push_back(Refuse{r.id, {}});
+      actions_.push_back(Refuse{r.id, stay_away()});
       return;
     }
     double& mean = mean_work_[c];
@@ -596,11 +596,15 @@
 
   // ---- Rule: one final answer ----
 
+  /// How long a refused client should stay away: as long as clients follow. Guards against a client's try
+  /// that comes again at once, while what was full still is. Harm: a passing refusal costs that long.
+  Time stay_away() const { return s_.retry_after ? s_.max_retry_after : Time{0}; }
+
   void conclude(Held& h) {
     if (h.over) return;
     h.over = true;
     if (may_refuse(h)) {
-      actions_.push_back(Refuse{h.request.id, {}});
+      actions_.push_back(Refuse{h.request.id, stay_away()});
     } else {
       actions_.push_back(Fail{h.request.id});
     }
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -161,7 +161,8 @@
     }
   }
 
-  void on(const TimerDue&) {}
+  // Guards against a loop that wakes a moment early: what was armed has been used up and is armed anew.
+  void on(const TimerDue&) { armed_ = Time{0}; }
 
   void on(const StopAsked&) {
     if (stopping_) return;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -106,6 +106,7 @@
 
 void Server::run() {
   take(edge::TimerDue{});  // what the start itself asks for
+  perform(edge::Log{"listening"});
   g_main_loop_run(loop_.get());
 }
 
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -126,6 +126,18 @@
   EXPECT_EQ(final_answers(world.finish(sent.front(), Ending::served)), 0U);
 }
 
+TEST(FinalAnswer, ARefusalTellsTheClientWhenToComeBackWhereTheSiteHandsThatOn) {
+  for (const bool handed_on : {false, true}) {
+    Settings s = settings();
+    s.retry_after = handed_on;
+    s.max_retry_after = 500ms;
+    World world(s, {});
+    const auto refused = only<Refuse>(world.feed(world.request(1)));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused.front().retry_after, handed_on ? 500ms : 0ms);
+  }
+}
+
 // ---- No effect twice ----
 
 TEST(Effects, WritesReachTheOriginOnly) {
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,239 @@
+// SPDX-License-Identifier: MIT
+// The parsers: any split of the bytes, bounded sizes, typed errors.
+#include <gtest/gtest.h>
+
+#include "codec/bulletin.h"
+#include "codec/cache_lines.h"
+#include "codec/event_stream.h"
+#include "codec/thrift.h"
+
+namespace dahliahall::codec {
+namespace {
+
+using namespace std::string_literals;
+
+// ---- Thrift ----
+
+std::string be32(std::uint32_t value) {
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xffU));
+  return out;
+}
+std::string text(const std::string& value) { return be32(static_cast<std::uint32_t>(value.size())) + value; }
+std::string head(const std::string& method, int type = 1) {
+  return be32(0x80010000U | static_cast<unsigned>(type)) + text(method) + be32(7);
+}
+const std::string kStop("\0", 1);
+
+std::string process(const std::string& verb, const std::string& body) {
+  return head("process") + "\x0d\0\1\x0b\x0b"s + be32(1) + text("verb") + text(verb) + "\x0b\0\2"s +
+         text(body) + kStop;
+}
+
+TEST(Frames, AreCutOutOfAnySplit) {
+  const std::string stream = text("one") + text("") + text("three");
+  for (std::size_t split = 0; split <= stream.size(); ++split) {
+    FrameReader reader;
+    std::vector<std::string> frames;
+    for (const auto& part : {stream.substr(0, split), stream.substr(split)}) {
+      reader.feed(part);
+      while (const auto frame = reader.next()) frames.emplace_back(*frame);
+    }
+    EXPECT_EQ(frames, (std::vector<std::string>{"one", "", "three"})) << "split at " << split;
+  }
+}
+
+TEST(Frames, OneThatIsTooLargeIsAnError) {
+  FrameReader reader;
+  reader.feed(be32(kMaxFrame + 1));
+  EXPECT_FALSE(reader.next());
+  EXPECT_EQ(reader.error(), FrameError::too_large);
+}
+
+TEST(Thrift, AProcessCallIsRead) {
+  const auto read = read_message(process("pages", "some\0bytes"s));
+  const auto& message = std::get<Message>(read);
+  EXPECT_EQ(message.seqid, 7);
+  const auto& call = std::get<ProcessCall>(message.call);
+  EXPECT_TRUE(call.readable);
+  EXPECT_EQ(call.fields, (StringMap{{"verb", "pages"}}));
+  EXPECT_EQ(call.body, "some\0bytes"s);
+}
+
+TEST(Thrift, OtherCallsAreRead) {
+  const auto give_up = read_message(head("giveUp", 4) + "\x08\0\1"s + be32(3) + kStop);
+  EXPECT_EQ(std::get<GiveUpCall>(std::get<Message>(give_up).call).given_up, 3);
+  EXPECT_TRUE(std::holds_alternative<ProbeCall>(
+      std::get<Message>(read_message(head("probe") + "\x02\0\1\1"s + kStop)).call));
+  const auto unknown = read_message(head("dance") + "\x0f\0\1\x0c"s + be32(1) + "\x0a\0\1"s +
+                                    std::string(8, 'x') + kStop + kStop);
+  EXPECT_EQ(std::get<UnknownCall>(std::get<Message>(unknown).call).method, "dance");
+}
+
+TEST(Thrift, ACallOfOtherTypesIsNotReadable) {
+  const auto of = [](const std::string& arguments) {
+    return std::get<ProcessCall>(std::get<Message>(read_message(head("process") + arguments + kStop)).call)
+        .readable;
+  };
+  EXPECT_FALSE(of(""));                                                      // no fields at all
+  EXPECT_FALSE(of("\x08\0\1"s + be32(5)));                                   // a number for the map
+  EXPECT_FALSE(of("\x0d\0\1\x0b\x08"s + be32(1) + text("verb") + be32(1)));  // numbers in the map
+}
+
+TEST(Thrift, WhatIsNoMessageIsAnErrorWhereverItIsCut) {
+  const std::string whole = process("pages", "body");
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const auto read = read_message(std::string_view(whole).substr(0, size));
+    ASSERT_TRUE(std::holds_alternative<MessageError>(read)) << "cut at " << size;
+    EXPECT_EQ(std::get<MessageError>(read), MessageError::cut_short);
+  }
+  const auto error = [](const std::string& frame) { return std::get<MessageError>(read_message(frame)); };
+  EXPECT_EQ(error(text("old style") + kStop), MessageError::not_strict);
+  EXPECT_EQ(error(head("process", 2)), MessageError::bad_type);
+  EXPECT_EQ(error(head("dance") + "\x7f\0\1"s), MessageError::bad_type);
+  // A map that says it holds four thousand million entries.
+  EXPECT_EQ(error(head("process") + "\x0d\0\1\x0b\x0b"s + be32(0xffffffffU)), MessageError::cut_short);
+  std::string deep = head("dance");
+  for (int i = 0; i < 100000; ++i) deep += "\x0c\0\1"s;
+  EXPECT_EQ(error(deep), MessageError::too_deep);
+}
+
+// ---- Cache lines ----
+
+TEST(CacheLines, AnswersAreReadFromAnySplit) {
+  const std::string stream =
+      "a HIT ver=t1,born=5 7\r\nx\r\ny\0z\r\nb NONE - 0\r\n\r\nc PONG report=inflight:7 0\r\n\r\n"s;
+  const std::string with_body =
+      "a HIT ver=t1,born=5 6\r\nx\r\ny\0z\r\n"s + stream.substr(stream.find("b NONE"));
+  for (std::size_t split = 0; split <= with_body.size(); ++split) {
+    AnswerReader reader;
+    std::vector<CacheAnswer> answers;
+    for (const auto& part : {with_body.substr(0, split), with_body.substr(split)}) {
+      reader.feed(part);
+      while (auto answer = reader.next()) answers.push_back(*answer);
+    }
+    ASSERT_EQ(answers.size(), 3U) << "split at " << split;
+    EXPECT_EQ(reader.error(), LineError::none);
+    EXPECT_EQ(answers[0].id, "a");
+    EXPECT_EQ(answers[0].word, AnswerWord::hit);
+    EXPECT_EQ(answers[0].body, "x\r\ny\0z"s);
+    EXPECT_EQ(field_in(answers[0].fields, "born"), "5");
+    EXPECT_EQ(answers[1].word, AnswerWord::none);
+    EXPECT_EQ(field_in(answers[1].fields, "ver"), std::nullopt);
+    EXPECT_EQ(field_in(answers[2].fields, "report"), "inflight:7");
+  }
+}
+
+TEST(CacheLines, WhatIsNoAnswerIsATypedError) {
+  const auto error = [](const std::string& bytes) {
+    AnswerReader reader;
+    reader.feed(bytes);
+    EXPECT_FALSE(reader.next());
+    return reader.error();
+  };
+  EXPECT_EQ(error("a HIT - x\r\n"), LineError::not_an_answer);
+  EXPECT_EQ(error("a HIT - -1\r\n"), LineError::not_an_answer);
+  EXPECT_EQ(error("a HIT\r\n"), LineError::not_an_answer);
+  EXPECT_EQ(error("a HIT - 1 2\r\n"), LineError::not_an_answer);
+  EXPECT_EQ(error("a WHAT - 0\r\n"), LineError::unknown_word);
+  EXPECT_EQ(error("a HIT - 99999999\r\n"), LineError::body_too_long);
+  EXPECT_EQ(error("a HIT - 1\r\nxyz"), LineError::body_not_ended);
+  EXPECT_EQ(error(std::string(kMaxLine + 10, 'x')), LineError::line_too_long);
+}
+
+TEST(CacheLines, CommandsAreWritten) {
+  FieldList fields;
+  EXPECT_EQ(write_serve("a", fields, ""), "serve a - 0\r\n\r\n");
+  fields.add("x", "1");
+  fields.add("y", "2");
+  EXPECT_EQ(write_serve("a", fields, "hi"), "serve a x=1,y=2 2\r\nhi\r\n");
+  EXPECT_EQ(write_cancel("a"), "cancel a\r\n");
+}
+
+// ---- The bulletin's stream ----
+
+std::vector<StreamEvent> events_of(const std::string& bytes, std::size_t split) {
+  EventStreamReader reader;
+  std::vector<StreamEvent> events;
+  for (const auto& part : {bytes.substr(0, split), bytes.substr(split)}) {
+    reader.feed(part);
+    while (auto event = reader.next()) events.push_back(*event);
+  }
+  EXPECT_EQ(reader.error(), StreamError::none);
+  return events;
+}
+
+TEST(EventStream, EventsAreReadFromAnySplitChunkedOrNot) {
+  const std::string plain =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\nid: 4\ndata: {\"a\"\ndata: "
+      ":1}\n\nid:5\r\ndata:x\r\n\r\n";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\ntransfer-Encoding: Chunked\r\n\r\n9\r\n: hello\n\n\r\n12;x=y\r\nid: 4\ndata: "
+      "{\"a\"\nd\r\n"
+      "19\r\nata: :1}\n\nid:5\r\ndata:x\r\n\r\r\n1\r\n\n\r\n";
+  for (const std::string& stream : {plain, chunked}) {
+    for (std::size_t split = 0; split <= stream.size(); ++split) {
+      const auto events = events_of(stream, split);
+      ASSERT_EQ(events.size(), 2U) << "split at " << split;
+      EXPECT_EQ(events[0].id, "4");
+      EXPECT_EQ(events[0].data, "{\"a\"\n:1}");
+      EXPECT_EQ(events[1].id, "5");
+      EXPECT_EQ(events[1].data, "x");
+    }
+  }
+}
+
+TEST(EventStream, WhatIsNoStreamIsATypedError) {
+  const auto error = [](const std::string& bytes) {
+    EventStreamReader reader;
+    reader.feed(bytes);
+    EXPECT_FALSE(reader.next());
+    return reader.error();
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  EXPECT_EQ(error("HTTP/1.1 404 Not Found\r\n\r\n"), StreamError::not_ok);
+  EXPECT_EQ(error(std::string(kMaxHead + 1, 'x')), StreamError::head_too_long);
+  EXPECT_EQ(error(ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"), StreamError::bad_chunk);
+  EXPECT_EQ(error(ok + "\r\ndata: " + std::string(kMaxEvent, 'x')), StreamError::event_too_long);
+}
+
+TEST(Bulletin, EventsAreReadAndFaultsNameTheField) {
+  const Names names{{"north", "east"}, {"std", "origin"}};
+  const auto list = parse_bulletin_event(
+      R"({"no":41,"roster":{"revision":7,"complete":true,"members":[{"id":"s-1","host_port":"10.1.0.9:9090",)"
+      R"("locality":"east","flavor":"std","cell":2,"phase":"leaving","size":4,"up_since_ms":1764576000123}]}})",
+      names);
+  EXPECT_EQ(list.number, 41);
+  ASSERT_TRUE(list.roster && list.roster->complete);
+  const ListedMember& m = list.roster->members.at(0);
+  EXPECT_EQ(m.address, "10.1.0.9:9090");
+  EXPECT_EQ(m.member.zone, 1);
+  EXPECT_EQ(m.member.kind, 0);
+  EXPECT_EQ(m.member.state, MemberState::draining);
+  EXPECT_EQ(m.member.started, std::chrono::milliseconds(1764576000123));
+
+  const auto purge = parse_bulletin_event(R"({"no":43,"recall":{"lot":17,"issued":1000}})", names);
+  ASSERT_TRUE(purge.recall);
+  EXPECT_FALSE(purge.recall->object);
+  EXPECT_EQ(purge.recall->group, 17);
+  // The moment was rounded down: a copy made within that millisecond may be older than the purge.
+  EXPECT_EQ(purge.recall->issued, std::chrono::milliseconds(1001));
+
+  const auto problem = [&names](const char* json) -> std::string {
+    try {
+      parse_bulletin_event(json, names);
+    } catch (const FieldError& error) {
+      return error.what();
+    }
+    return "none";
+  };
+  EXPECT_EQ(problem(R"({"roster":{}})"), "field 'no': is missing");
+  EXPECT_EQ(problem(R"({"no":1,"roster":{"members":[{"id":"s","phase":"odd"}]}})"),
+            "field 'roster.members[0].phase': has the unknown value 'odd'");
+  EXPECT_EQ(problem(R"({"no":1,"recall":{"lot":1}})"), "field 'recall.issued': is missing");
+  EXPECT_NE(problem("{").find("not JSON"), std::string::npos);
+  EXPECT_NE(problem("[]"), "none");
+}
+
+}  // namespace
+}  // namespace dahliahall::codec
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+#include "config/config.h"
+
+#include <gtest/gtest.h>
+
+#include "scenario.h"
+
+namespace dahliahall::config {
+namespace {
+
+using test::config_text;
+
+const std::map<std::string, std::string> kAddresses{{"edge", "10.0.0.4:9090"}, {"bulletin", "10.2.0.1:9092"}};
+
+std::string changed(const std::string& from, const std::string& to) {
+  std::string text = config_text({"box-1", "main"}, kAddresses);
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+std::string problem(const std::string& text, const std::map<std::string, std::string>& environment = {}) {
+  try {
+    parse(text, environment);
+  } catch (const FieldError& error) {
+    return error.what();
+  }
+  return "none";
+}
+
+TEST(Config, AllIsRead) {
+  const Config config = parse(config_text({"box-1", "main"}, kAddresses), {});
+  EXPECT_EQ(config.name, "n1");
+  EXPECT_EQ(config.listen, "10.0.0.4:9090");
+  EXPECT_EQ(config.bulletin, "10.2.0.1:9092");
+  EXPECT_EQ(config.seed, 0x8c1f30d27a5be964U);
+  EXPECT_EQ(config.max_sockets, 256);
+  EXPECT_EQ(config.requests_per_connection, 32);
+  EXPECT_EQ(config.connect_timeout, std::chrono::milliseconds(400));
+  EXPECT_EQ(config.settings.classes.size(), 3U);
+  EXPECT_EQ(config.settings.classes[2].effect, Effect::keyed);
+  EXPECT_EQ(config.known_number, 1);
+  ASSERT_EQ(config.known.size(), 1U);
+  EXPECT_EQ(config.known[0].roster->members[1].member.kind, config.settings.origin_kind);
+}
+
+TEST(Config, TheEnvironmentStandsAboveTheFile) {
+  const Config config =
+      parse(config_text({"main"}, kAddresses), {{"GW_NAME", "n9"}, {"GW_LISTEN", "10.0.0.5:1"}});
+  EXPECT_EQ(config.name, "n9");
+  EXPECT_EQ(config.listen, "10.0.0.5:1");
+}
+
+TEST(Config, WhatIsLeftOutHasADefault) {
+  const Config config = parse(changed(R"("conn_idle":30000000,"connect_timeout":400000,)", ""), {});
+  EXPECT_EQ(config.connection_idle, std::chrono::seconds(30));
+  EXPECT_EQ(config.connect_timeout, std::chrono::milliseconds(400));
+}
+
+TEST(Config, FaultsNameTheKey) {
+  EXPECT_EQ(problem(changed(R"("bulletin":"10.2.0.1:9092")", R"("bulletin":"10.2.0.1")")),
+            "field 'bulletin': should be host:port, not '10.2.0.1'");
+  EXPECT_EQ(problem(config_text({"main"}, kAddresses), {{"GW_LISTEN", "here:0"}}),
+            "field 'GW_LISTEN': should be host:port, not 'here:0'");
+  EXPECT_EQ(problem(changed(R"("sockets":256)", R"("sockets":5)")),
+            "field 'limits.sockets': should be 64 or more");
+  EXPECT_EQ(problem(changed(R"("multiplex":32)", R"("multiplex":0)")),
+            "field 'settings.bounds.multiplex': should be 1 or more");
+  EXPECT_EQ(problem(changed(R"("conn_idle":30000000)", R"("conn_idle":-1)")),
+            "field 'settings.bounds.conn_idle': should be more than 0");
+  EXPECT_EQ(problem(changed(R"("azs":["north","edge-1"])", R"("azs":["north",5])")),
+            "field 'settings.azs': should hold strings");
+  EXPECT_EQ(problem(changed(R"("phase":"active")", R"("phase":"asleep")")),
+            "field 'known.items[0].roster.members[0].phase': has the unknown value 'asleep'");
+  EXPECT_EQ(problem(changed(R"("seed":"8c1f30d27a5be964")", R"("seed":"x")")),
+            "field 'seed': should be up to 16 hex digits");
+  EXPECT_EQ(problem(changed(R"("weights":"nominal")", R"("weights":"heavy")")),
+            "field 'settings.weights': has the unknown value 'heavy'");
+  EXPECT_EQ(problem("{}"), "field 'name': is missing");
+  EXPECT_NE(problem("{\"name\":").find("not JSON at byte 8"), std::string::npos);
+}
+
+TEST(Config, AMissingFileIsNamed) {
+  try {
+    load({{"GW_CONFIG", "/nowhere/at/all.json"}});
+    FAIL() << "no error";
+  } catch (const FieldError& error) {
+    EXPECT_STREQ(error.what(), "field 'GW_CONFIG': can't read '/nowhere/at/all.json'");
+  }
+  EXPECT_THROW(load({}), FieldError);
+}
+
+}  // namespace
+}  // namespace dahliahall::config
--- /dev/null
+++ b/tests/edge_test.cpp
@@ -0,0 +1,438 @@
+// SPDX-License-Identifier: MIT
+// The reducer in virtual time. The scenarios' language is described in scenario.h.
+#include <gtest/gtest.h>
+
+#include "virtual_stage.h"
+
+namespace dahliahall::test {
+namespace {
+
+void play(const std::string& scenario, const std::vector<std::string>& members = {"box-1", "up-1", "main"}) {
+  VirtualStage stage(members);
+  play(stage, scenario);
+}
+
+std::string roster(int no, const std::string& members, bool complete = false) {
+  return R"(bulletin send {"no":)" + std::to_string(no) + R"(,"roster":{"revision":2,"complete":)" +
+         (complete ? "true" : "false") + R"(,"members":[)" + members + "]}}\n";
+}
+
+// ---- The ordinary path ----
+
+TEST(Edge, ARequestIsServedWithItsTextsUnchanged) {
+  play(R"(
+    anna send 1 pages piece=5 ver=tag9 unique=k1
+    box-1 expect serve 1 profile=pages thing=0000000000000001 nth=5 seen=tag9 replay=k1 from=up-1 max=2490 rank=1 oldest=8000 mode=refresh
+    box-1 send HIT 1 ver=t1,born=5 all the bytes
+    anna expect served 1 !unchanged body=all the bytes
+    anna expect nothing
+  )");
+}
+
+TEST(Edge, AnAnswersBytesAreKept) {
+  VirtualStage stage;
+  play(stage, "anna send 1 pages\nbox-1 expect serve 1");
+  std::string body = "a\r\nb c=,\0 serve 9 - 0\r\n";
+  body += std::string(1000, '\xff');
+  stage.send("box-1", "0000000000000001 HIT ver=t1 " + std::to_string(body.size()) + "\r\n" + body + "\r\n");
+  EXPECT_NE(stage.received("anna").find(body), std::string::npos);
+}
+
+TEST(Edge, AClientsCopyThatHoldsIsToldSo) {
+  play(R"(
+    anna send 1 pages ver=t1
+    box-1 expect serve 1 seen=t1
+    box-1 send VALID 1 ver=t1,born=5
+    anna expect served 1 unchanged=1 ver=t1 body=
+  )");
+}
+
+TEST(Edge, AnOrderGoesToTheOriginThroughACacheWithItsKeyAndBody) {
+  play(R"(
+    anna send 1 order unique=5c0f6e1a body=two books
+    box-1 expect serve 1 profile=order replay=5c0f6e1a from=main !mode body=two books
+    box-1 send HIT 1 ver=t1,born=5 done
+    anna expect served 1 body=done
+  )");
+}
+
+TEST(Edge, AnswersComeInAnyOrder) {
+  play(R"(
+    anna send 1 pages
+    anna send 2 pages
+    box-1 expect serve 1
+    box-1 expect serve 2
+    box-1 send HIT 2 ver=b two
+    box-1 send HIT 1 ver=a one
+    anna expect served 2 body=two
+    anna expect served 1 body=one
+  )");
+}
+
+// ---- One final answer ----
+
+TEST(Edge, WhatTheModuleGivesUpIsAnsweredAtOnceWithATimeToStayAway) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 send SHED 1
+    anna expect refused 1 later=*
+    anna expect nothing
+  )");
+}
+
+TEST(Edge, AnOrderThatMayHaveRunIsNotSentTwiceAfterItsKeysMemory) {
+  play(R"(
+    anna send 1 order unique=k limit=3000
+    box-1 expect serve 1
+    wait 2100
+    box-1 close reset
+    box-1 expect nothing
+    box-2 expect nothing
+    anna expect refused 1
+  )");
+}
+
+TEST(Edge, ASilentAttemptIsAnsweredBeforeTheClientLeaves) {
+  play(R"(
+    anna send 1 order unique=k limit=1000
+    box-1 expect serve 1
+    wait 985
+    anna expect nothing
+    wait 10
+    anna expect refused 1
+    box-1 expect cancel 1
+    # and a late answer is dropped
+    box-1 send HIT 1 ver=a late
+    anna expect nothing
+  )");
+}
+
+TEST(Edge, AfterAGiveUpNoAnswerIsGivenAndTheAttemptIsCancelled) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    anna send giveUp 1
+    box-1 expect cancel 1
+    box-1 send HIT 1 ver=a late
+    anna expect nothing
+    # an unknown one is passed over
+    anna send giveUp 99
+    anna send 2 pages
+    box-1 expect serve 2
+  )");
+}
+
+TEST(Edge, AClientThatHangsUpHasItsAttemptsCancelled) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    anna close
+    box-1 expect cancel 1
+    edge expect log closed kind=front conn=2 reason=peer_closed requests=1
+  )");
+}
+
+// ---- Endings ----
+
+TEST(Edge, AMissGoesOnToAnotherCacheAsNeverRun) {
+  VirtualStage stage({"box-1", "box-2", "up-1", "up-2", "main"});
+  play(stage, "anna send 1 pages\nwait 1");
+  const std::string first = stage.received("box-1").empty() ? "box-2" : "box-1";
+  const std::string other = first == "box-1" ? "box-2" : "box-1";
+  play(stage, first + " send NONE 1\n" + other + " expect serve 1\n" + other + " send HIT 1 ver=a b\n" +
+                  "anna expect served 1 body=b\n");
+}
+
+TEST(Edge, ARefusedConnectionIsProofThatAnOrderNeverRan) {
+  play(R"(
+    box-1 close refusing
+    anna send 1 order unique=k
+    anna expect refused 1
+    edge expect log reason=connect_refused
+  )");
+}
+
+TEST(Edge, AConnectionThatDoesNotComeUpIsGivenUpInTime) {
+  play(R"(
+    box-1 close silent
+    anna send 1 pages
+    wait 399
+    anna expect nothing
+    wait 2
+    anna expect refused 1
+    edge expect log reason=connect_timeout
+  )");
+}
+
+TEST(Edge, AnAnswerThatCannotBeReadEndsThatConnectionAlone) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 send raw what is this
+    edge expect log reason=bad_answer
+    wait 20
+    anna expect refused 1
+    anna send 2 pages
+    box-1 expect serve 2
+  )");
+}
+
+TEST(Edge, AConnectionWithWorkGivenUpAndNothingHeardTakesNothingNew) {
+  // Guards against a vanished machine: its old connections stay open and silent.
+  play(R"(
+    anna send 1 pages limit=600
+    box-1 expect serve 1
+    wait 600
+    box-1 expect cancel 1
+    anna expect refused 1
+    box-1 close silent
+    wait 2000
+    edge expect log reason=silent
+    anna send 2 pages
+    box-1 expect nothing
+    wait 410
+    anna expect refused 2
+  )");
+}
+
+TEST(Edge, IdleConnectionsAreClosedBeforeTheCacheDoes) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 send HIT 1 ver=a b
+    wait 27900
+    bulletin send comment
+    wait 300
+    edge expect log closed kind=member conn=3 reason=idle
+  )");
+}
+
+// ---- The list of members ----
+
+TEST(Edge, ReadinessWaitsForTheList) {
+  play(R"(
+    anna send probe 1
+    anna expect unready 1
+    bulletin expect get last=0
+    bulletin send head
+    )" + roster(1, listed("box-1", "box-1:1") + "," + listed("main", "main:1"), true) +
+           R"(
+    anna send probe 2
+    anna expect ready 2
+  )",
+       {});
+}
+
+TEST(Edge, NothingThatStillWaitsGoesToADrainingCache) {
+  // Guards the rule on drains: a request queued behind a connection that comes up late.
+  VirtualStage stage;
+  play(stage, "bulletin send head\nbox-1 close silent\nanna send 1 pages\n" +
+                  roster(2, listed("box-1", "box-1:1", "leaving")) + "anna expect refused 1\nwait 2000\n" +
+                  "box-1 expect nothing\n");
+}
+
+TEST(Edge, NothingThatStillWaitsNamesADrainingSource) {
+  VirtualStage stage;
+  play(stage, "bulletin send head\nbox-1 close silent\nanna send 1 pages\n" +
+                  roster(2, listed("up-1", "up-1:1", "leaving")) + "anna expect refused 1\n");
+}
+
+TEST(Edge, ADrainingCacheFinishesWhatItHas) {
+  VirtualStage stage;
+  play(stage,
+       "bulletin send head\nanna send 1 pages\nbox-1 expect serve 1\n" +
+           roster(2, listed("box-1", "box-1:1", "leaving")) +
+           "box-1 send HIT 1 ver=a b\nanna expect served 1\nwait 200\nedge expect log reason=member_left\n");
+}
+
+TEST(Edge, ANewCacheAtAnOldAddressGetsConnectionsOfItsOwn) {
+  VirtualStage stage;
+  play(stage,
+       "bulletin send head\nanna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b\n" +
+           roster(2, listed("box-1", "box-1:1", "left") + "," + listed("box-9", "box-1:1")) +
+           "edge expect log closed kind=member conn=3 reason=member_left\nanna expect served 1\n" +
+           "anna send 2 pages\nbox-1 expect serve 2\nbox-1 send HIT 2 ver=a b\nanna expect served 2\n");
+}
+
+TEST(Edge, ARestartedCachesOldConnectionsAreDropped) {
+  VirtualStage stage;
+  const auto up_since = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count() - 60000;
+  play(stage, "bulletin send head\nanna send 1 pages\nbox-1 expect serve 1\n" +
+                  roster(2, listed("box-1", "box-1:1", "active", up_since)) +
+                  "edge expect log reason=member_replaced\nwait 20\nanna expect refused 1\n");
+}
+
+// ---- Purges ----
+
+TEST(Edge, APurgeBindsWhatIsDecidedAfterIt) {
+  VirtualStage stage;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count();
+  play(stage,
+       "bulletin send head\nbulletin send {\"no\":2,\"recall\":{\"item\":\"0000000000000001\",\"issued\":" +
+           std::to_string(ms - 500) + "}}\nanna send 1 video\nbox-1 expect serve 1 oldest=499\n" +
+           "anna send 2 video\nbox-1 expect serve 2 !oldest\n");
+}
+
+TEST(Edge, APurgeBindsWhatStillWaitsToBeWritten) {
+  VirtualStage stage;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count();
+  play(stage, "bulletin send head\nanna send 1 pages\nbox-1 expect serve 1");
+  stage.stall("box-1", true);
+  play(stage,
+       "anna send giveUp 1\nbox-1 expect cancel 1\nanna send 2 video\nbox-1 expect nothing\n"
+       "bulletin send {\"no\":2,\"recall\":{\"lot\":17,\"issued\":" +
+           std::to_string(ms - 300) + "}}\n");
+  stage.stall("box-1", false);
+  play(stage, "box-1 expect serve 2 oldest=299\n");
+}
+
+// ---- The bulletin ----
+
+TEST(Edge, ABulletinThatEndsIsAskedForTheEventsAfterTheLast) {
+  VirtualStage stage;
+  play(stage, "bulletin expect get last=1\nbulletin send head\n" + roster(2, listed("box-2", "box-2:1")) +
+                  "bulletin close\nwait 100\nbulletin expect get last=2\n");
+}
+
+TEST(Edge, AGapInTheBulletinIsAskedForAgainAndARepeatIsPassedOver) {
+  VirtualStage stage;
+  play(stage, "bulletin expect get last=1\nbulletin send head\n" +
+                  roster(1, listed("box-1", "box-1:1", "left")) +
+                  roster(3, listed("box-1", "box-1:1", "left")) +
+                  "edge expect log bulletin gap last=1 got=3\nwait 100\nbulletin expect get last=1\n"
+                  "anna send 1 pages\nbox-1 expect serve 1\n");
+}
+
+TEST(Edge, ASilentBulletinIsADeadLink) {
+  play(R"(
+    bulletin expect get last=1
+    bulletin send head
+    wait 3000
+    bulletin send comment
+    wait 3000
+    bulletin expect nothing
+    wait 1000
+    edge expect log closed kind=bulletin conn=1 reason=silent
+    bulletin expect get last=1
+  )");
+}
+
+TEST(Edge, AnUnreadableEventIsPassedOverAndAnAnswerOtherThanOkIsNot) {
+  play(R"(
+    bulletin expect get last=1
+    bulletin send head
+    bulletin send {"no":2,"recall":{"item":"zz","issued":5}}
+    edge expect log bulletin unreadable event id=2
+    bulletin close
+    wait 100
+    bulletin expect get last=2
+    bulletin send raw HTTP/1.1 503 Busy\n\n
+    edge expect log reason=bad_stream
+    wait 200
+    bulletin expect get last=2
+  )");
+}
+
+// ---- Bad input from clients ----
+
+TEST(Edge, BadFieldsAreAnsweredFailed) {
+  play(R"(
+    anna send 1 pages txn=short
+    anna expect failed 1
+    anna send 2 unheard
+    anna expect failed 2
+    anna send 3 pages limit=soon
+    anna expect failed 3
+    anna send 4 pages !item
+    anna expect failed 4
+    anna send 5 order
+    anna expect failed 5
+    anna send 6 pages lot=256
+    anna expect failed 6
+    anna send 7 pages unique=a,from=main
+    anna expect failed 7
+    anna send 8 pages piece=-1
+    anna expect failed 8
+    anna send 9 pages ram=nan
+    anna expect failed 9
+    box-1 expect nothing
+  )");
+}
+
+TEST(Edge, AnIdThatIsUnderWayAlreadyFailsTheSecondAlone) {
+  play(R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    bert send 1 pages
+    bert expect failed 1
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    bert expect nothing
+  )");
+}
+
+TEST(Edge, AnUnknownMethodGetsAnApplicationException) {
+  play(R"(
+    anna send dance 4
+    anna expect exception 4
+    anna send probe 5
+    anna expect ready 5
+  )");
+}
+
+TEST(Edge, ABrokenFrameClosesThatConnectionAlone) {
+  play(R"(
+    bert send 1 pages
+    anna send raw 7f ff ff ff
+    anna expect closed
+    edge expect log reason=bad_frame
+    box-1 expect serve 1
+    box-1 send HIT 1 ver=a b
+    bert expect served 1
+  )");
+}
+
+TEST(Edge, AClientThatDoesNotReadIsRefusedAndItsGiveUpsAreHeard) {
+  VirtualStage stage;
+  play(stage,
+       "anna send 1 pages\nbox-1 expect serve 1\nanna send 2 pages\nbox-1 expect serve 2\n"
+       "anna send 3 pages\nbox-1 expect serve 3\nanna send 4 pages\nbox-1 expect serve 4\n");
+  stage.stall("anna", true);
+  const std::string body(240'000, 'x');
+  for (const char id : {'1', '2', '3'}) {
+    stage.send("box-1", std::string("000000000000000") + id + " HIT ver=a 240000\r\n" + body + "\r\n");
+  }
+  play(stage,
+       "anna send giveUp 4\nbox-1 expect cancel 4\nanna send 5 pages\nbox-1 expect nothing\n"
+       "anna expect served 1\nanna expect served 2\nanna expect served 3\nanna expect refused 5 later=*\n");
+  stage.stall("anna", false);
+  play(stage, "anna send 6 pages\nbox-1 expect serve 6\n");
+}
+
+// ---- The end ----
+
+TEST(Edge, AfterTermItGoesOnServingAndThenFinishesWhatItTook) {
+  play(R"(
+    anna send 1 pages limit=4000
+    box-1 expect serve 1
+    edge send TERM
+    wait 700
+    bert send 2 pages limit=4000
+    box-1 expect serve 2
+    box-1 send HIT 2 ver=a b
+    bert expect served 2
+    wait 400
+    # from then on nothing new is taken
+    bert send 3 pages
+    bert expect refused 3 later=500
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    anna expect closed
+    bert expect closed
+    edge expect stopped
+  )");
+}
+
+}  // namespace
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/integration_test.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: MIT
+// The started program over loopback, in the scenarios' language (scenario.h).
+#include <gtest/gtest.h>
+
+#include "started_program.h"
+
+namespace dahliahall::test {
+namespace {
+
+TEST(Program, ServesOverSocketsAndSaysWhyConnectionsEnd) {
+  StartedProgram program;
+  play(program, R"(
+    anna send probe 1
+    anna expect ready 1
+    anna send 2 pages
+    box-1 expect serve 2 profile=pages from=up-1
+    box-1 send HIT 2 ver=t1,born=5 all the bytes
+    anna expect served 2 !unchanged body=all the bytes
+    anna send 3 video
+    box-1 expect serve 3
+    anna send giveUp 3
+    box-1 expect cancel 3
+    anna close
+    edge expect log kind=front conn=2 reason=peer_closed requests=2
+    bert send raw 7f ff ff ff
+    bert expect closed
+    edge expect log reason=bad_frame
+  )");
+}
+
+TEST(Program, SurvivesADeadCacheAndAPurge) {
+  StartedProgram program;
+  play(program, R"(
+    bulletin expect get last=1
+    bulletin send head
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 close reset
+    anna expect refused 1
+    edge expect log kind=member conn=3 reason=peer_reset
+    box-1 close refusing
+    anna send 2 order unique=k
+    anna expect refused 2
+    edge expect log reason=connect_refused
+    box-1 close not
+    bulletin send {"no":2,"recall":{"lot":17,"issued":1}}
+    anna send 3 pages
+    box-1 expect serve 3
+    box-1 send HIT 3 ver=a b
+    anna expect served 3
+  )");
+}
+
+TEST(Program, ALargeAnswerComesWhole) {
+  StartedProgram program;
+  play(program, "anna send 1 video\nbox-1 expect serve 1");
+  const std::string body(240'000, 'y');
+  program.send("box-1", "0000000000000001 HIT ver=a 240000\r\n" + body + "\r\n");
+  play(program, "anna expect served 1 body=" + body);
+}
+
+TEST(Program, TermFinishesWhatWasTakenAndExitsWithZero) {
+  StartedProgram program;
+  play(program, R"(
+    anna send 1 pages
+    box-1 expect serve 1
+    edge send TERM
+    edge expect log stopping open=1
+    wait 700
+    bert send 2 pages
+    box-1 expect serve 2
+    box-1 send HIT 2 ver=a b
+    bert expect served 2
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    edge expect stopped
+  )");
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
+TEST(Program, AFaultyConfigurationIsNamedAndEndsIt) {
+  StartedProgram program({"box-1"}, [](std::string config) {
+    const std::string key = R"("max_retry_after":500000)";
+    return config.replace(config.find(key), key.size(), R"("max_retry_after":"soon")");
+  });
+  EXPECT_TRUE(program.stopped());
+  EXPECT_EQ(program.exit_code(), 1);
+  EXPECT_NE(program.log().find("field 'settings.bounds.max_retry_after': should be a whole number"),
+            std::string::npos)
+      << program.log();
+}
+
+TEST(Program, AnAddressInUseIsNamedAndEndsIt) {
+  StartedProgram program({"box-1"}, [](std::string config) {
+    const std::size_t at = config.find("\"host_port\":\"") + 13;
+    const std::string taken = config.substr(at, config.find('"', at) - at);
+    const std::size_t listen = config.find("\"listen\":\"") + 10;
+    return config.replace(listen, config.find('"', listen) - listen, taken);
+  });
+  EXPECT_TRUE(program.stopped());
+  EXPECT_EQ(program.exit_code(), 1);
+  EXPECT_NE(program.log().find("field 'listen'"), std::string::npos) << program.log();
+}
+
+}  // namespace
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/started_program.cpp
@@ -0,0 +1,191 @@
+// SPDX-License-Identifier: MIT
+#include "started_program.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+namespace dahliahall::test {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+sockaddr_in loopback(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+int bound_socket(int& port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = loopback(port);
+  socklen_t size = sizeof address;
+  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  port = ntohs(address.sin_port);
+  return fd;
+}
+
+int port_of(const std::string& address) { return std::stoi(address.substr(address.find(':') + 1)); }
+
+}  // namespace
+
+StartedProgram::StartedProgram(const std::vector<std::string>& members, std::string (*edit)(std::string)) {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const std::string& member : members) listen(member);
+  listen("bulletin");
+  int port = 0;
+  ::close(bound_socket(port));  // a port that is free now, for the program itself
+  addresses_["edge"] = "127.0.0.1:" + std::to_string(port);
+
+  std::string config = config_text(members, addresses_);
+  if (edit != nullptr) config = edit(config);
+  std::string path = "/tmp/dahliahall-test-XXXXXX";
+  const int file = mkstemp(path.data());
+  EXPECT_EQ(::write(file, config.data(), config.size()), static_cast<ssize_t>(config.size()));
+  ::close(file);
+
+  std::array<int, 2> ends{};
+  EXPECT_EQ(pipe2(ends.data(), O_CLOEXEC), 0);
+  pid_ = fork();
+  if (pid_ == 0) {
+    dup2(ends[1], 1);
+    dup2(ends[1], 2);
+    setenv("GW_CONFIG", path.c_str(), 1);
+    execl(DAHLIAHALL_PROGRAM, DAHLIAHALL_PROGRAM, static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  ::close(ends[1]);
+  log_pipe_ = ends[0];
+  fcntl(log_pipe_, F_SETFL, O_NONBLOCK);
+  const auto until = Clock::now() + patience();
+  while (log_.find("listening") == std::string::npos && !stopped() && Clock::now() < until)
+    poll_once(std::chrono::milliseconds(5));
+  unlink(path.c_str());
+}
+
+StartedProgram::~StartedProgram() {
+  if (pid_ > 0 && !stopped()) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  for (const auto& [peer, fd] : listeners_) ::close(fd);
+  for (const auto& [peer, fds] : sockets_) {
+    for (const int fd : fds) ::close(fd);
+  }
+  ::close(log_pipe_);
+}
+
+void StartedProgram::listen(const std::string& peer) {
+  int port = addresses_.count(peer) != 0 ? port_of(addresses_[peer]) : 0;
+  const int fd = bound_socket(port);
+  EXPECT_EQ(::listen(fd, 16), 0);
+  listeners_[peer] = fd;
+  addresses_[peer] = "127.0.0.1:" + std::to_string(port);
+}
+
+void StartedProgram::connect(const std::string& peer) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = loopback(port_of(addresses_["edge"]));
+  EXPECT_EQ(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+  sockets_[peer].push_back(fd);
+}
+
+void StartedProgram::send(const std::string& peer, const std::string& bytes) {
+  if (sockets_[peer].empty() && listeners_.count(peer) == 0) connect(peer);
+  if (sockets_[peer].empty()) wait(std::chrono::milliseconds(50));
+  ASSERT_FALSE(sockets_[peer].empty()) << "no connection";
+  ASSERT_EQ(::send(sockets_[peer].back(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(bytes.size()));
+}
+
+std::string StartedProgram::received(const std::string& peer) {
+  poll_once(std::chrono::milliseconds(0));
+  return std::exchange(received_[peer], {});
+}
+
+void StartedProgram::close(const std::string& peer, Ends how) {
+  if (how == Ends::refusing) ::close(listeners_[peer]), listeners_.erase(peer);
+  if (how == Ends::not_at_all) listen(peer);
+  if (how == Ends::silent || how == Ends::not_at_all) return;
+  for (const int fd : sockets_[peer]) {
+    const linger at_once{1, 0};
+    if (how == Ends::reset) setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    ::close(fd);
+  }
+  sockets_[peer].clear();
+}
+
+bool StartedProgram::closed(const std::string& peer) {
+  poll_once(std::chrono::milliseconds(0));
+  return sockets_[peer].empty();
+}
+
+void StartedProgram::wait(std::chrono::milliseconds span) {
+  const auto until = Clock::now() + span;
+  while (Clock::now() < until) {
+    poll_once(std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now()));
+  }
+}
+
+void StartedProgram::terminate() { kill(pid_, SIGTERM); }
+
+bool StartedProgram::stopped() {
+  if (pid_ <= 0) return true;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return false;
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  poll_once(std::chrono::milliseconds(0));
+  pid_ = -1;
+  return true;
+}
+
+void StartedProgram::poll_once(std::chrono::milliseconds span) {
+  std::vector<pollfd> polled{{log_pipe_, POLLIN, 0}};
+  std::vector<std::string> peers{""};
+  const auto add = [&](int fd, const std::string& peer) {
+    polled.push_back({fd, POLLIN, 0});
+    peers.push_back(peer);
+  };
+  for (const auto& [peer, fd] : listeners_) add(fd, peer);
+  const std::size_t first_socket = polled.size();
+  for (const auto& [peer, fds] : sockets_) {
+    for (const int fd : fds) add(fd, peer);
+  }
+  poll(polled.data(), polled.size(), static_cast<int>(span.count()));
+  std::array<char, 65536> buffer;
+  for (std::size_t i = 0; i < polled.size(); ++i) {
+    if (polled[i].revents == 0) continue;
+    const int fd = polled[i].fd;
+    if (i > 0 && i < first_socket) {
+      sockets_[peers[i]].push_back(accept4(fd, nullptr, nullptr, SOCK_CLOEXEC));
+      continue;
+    }
+    const ssize_t size = ::read(fd, buffer.data(), buffer.size());
+    if (i == 0) {
+      if (size > 0) log_.append(buffer.data(), static_cast<std::size_t>(size));
+      if (size <= 0) usleep(1000);  // its end is always readable: no busy loop
+    } else if (size > 0) {
+      received_[peers[i]].append(buffer.data(), static_cast<std::size_t>(size));
+    } else {
+      std::erase(sockets_[peers[i]], fd);
+      ::close(fd);
+    }
+  }
+}
+
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/started_program.h
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The program itself over loopback, with every peer played by a scenario.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "scenario.h"
+
+namespace dahliahall::test {
+
+class StartedProgram : public Stage {
+ public:
+  /// `edit` may change the configuration before the start.
+  explicit StartedProgram(const std::vector<std::string>& members = {"box-1", "up-1", "main"},
+                          std::string (*edit)(std::string) = nullptr);
+  ~StartedProgram() override;
+  StartedProgram(const StartedProgram&) = delete;
+  StartedProgram& operator=(const StartedProgram&) = delete;
+
+  void send(const std::string& peer, const std::string& bytes) override;
+  std::string received(const std::string& peer) override;
+  void close(const std::string& peer, Ends how) override;
+  bool closed(const std::string& peer) override;
+  void wait(std::chrono::milliseconds span) override;
+  void terminate() override;
+  bool stopped() override;
+  std::string log() override { return log_; }
+  std::chrono::milliseconds patience() const override { return std::chrono::seconds(5); }
+
+  /// How it ended, once stopped() is true.
+  [[nodiscard]] int exit_code() const { return exit_code_; }
+
+ private:
+  void listen(const std::string& peer);
+  void connect(const std::string& peer);
+  void poll_once(std::chrono::milliseconds span);
+
+  std::map<std::string, std::string> addresses_;
+  std::map<std::string, int> listeners_;
+  std::map<std::string, std::vector<int>> sockets_;
+  std::map<std::string, std::string> received_;
+  std::string log_;
+  int log_pipe_ = -1;
+  int pid_ = -1;
+  int exit_code_ = -1;
+};
+
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/virtual_stage.h
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The reducer in virtual time, with every peer played by a scenario.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "edge/reducer.h"
+#include "scenario.h"
+
+namespace dahliahall::test {
+
+class VirtualStage : public Stage {
+ public:
+  explicit VirtualStage(const std::vector<std::string>& members = {"box-1", "up-1", "main"})
+      : state_(config::parse(config_text(members), {}), now_) {
+    feed(edge::TimerDue{});
+  }
+
+  void send(const std::string& peer, const std::string& bytes) override {
+    if (links_[peer].empty() && peer != "bulletin" && !is_listed(peer)) {
+      const edge::ConnectionId id = ++last_;
+      add(peer, id);
+      feed(edge::Accepted{id});
+    }
+    if (links_[peer].empty()) return;
+    const edge::ConnectionId id = last_used_.at(peer);
+    // Split in two, so that no scenario rests on whole messages arriving at once.
+    const std::string_view all = bytes;
+    feed(edge::BytesArrived{id, all.substr(0, all.size() / 2)});
+    if (owner_.count(id) != 0) feed(edge::BytesArrived{id, all.substr(all.size() / 2)});
+  }
+  std::string received(const std::string& peer) override { return std::exchange(received_[peer], {}); }
+  void close(const std::string& peer, Ends how) override {
+    manner_[peer] = how;
+    if (how == Ends::silent || how == Ends::not_at_all) return;
+    for (const edge::ConnectionId id : std::set(links_[peer])) {
+      remove(id);
+      feed(edge::Closed{id, how != Ends::closed});
+    }
+  }
+  bool closed(const std::string& peer) override { return links_[peer].empty(); }
+  void wait(std::chrono::milliseconds span) override {
+    const Time end = now_ + span;
+    while (due_ <= end && due_ > Time{0}) {
+      now_ = std::max(now_, std::exchange(due_, Time{0}));
+      feed(edge::TimerDue{});
+    }
+    now_ = end;
+  }
+  void terminate() override { feed(edge::StopAsked{}); }
+  bool stopped() override { return !listening_ && owner_.empty(); }
+  std::string log() override { return log_; }
+  std::chrono::milliseconds patience() const override { return std::chrono::milliseconds(0); }
+
+  /// Holds back the news that written bytes have gone, as a peer that does not read does.
+  void stall(const std::string& peer, bool stalled) {
+    stalled_[peer] = stalled;
+    if (stalled) return;
+    for (const edge::ConnectionId id : std::set(undrained_)) {
+      undrained_.erase(id);
+      feed(edge::WriteDrained{id});
+    }
+  }
+  [[nodiscard]] Time now() const { return now_; }
+
+ private:
+  static bool is_listed(const std::string& peer) {
+    return peer.rfind("box", 0) == 0 || peer.rfind("up", 0) == 0 || peer == "main";
+  }
+  void add(const std::string& peer, edge::ConnectionId id) {
+    links_[peer].insert(id);
+    owner_[id] = last_used_[peer] = id;
+    peers_[id] = peer;
+  }
+  void remove(edge::ConnectionId id) {
+    if (owner_.erase(id) != 0) links_[peers_[id]].erase(id);
+  }
+
+  void feed(const edge::Input& input) {
+    std::vector<edge::Input> next;
+    for (const edge::Effect& effect : edge::reduce(state_, now_, input)) {
+      std::visit([&](const auto& e) { perform(e, next); }, effect);
+    }
+    for (const edge::Input& more : next) feed(more);
+  }
+  void perform(const edge::Write& e, std::vector<edge::Input>& next) {
+    const std::string& peer = peers_[e.connection];
+    last_used_[peer] = e.connection;
+    received_[peer] += e.bytes;
+    if (stalled_[peer]) {
+      undrained_.insert(e.connection);
+    } else {
+      next.emplace_back(edge::WriteDrained{e.connection});
+    }
+  }
+  void perform(const edge::Connect& e, std::vector<edge::Input>& next) {
+    last_ = std::max(last_, e.connection);
+    const std::string peer = e.address.substr(0, e.address.find(':'));
+    if (manner_[peer] == Ends::refusing) {
+      next.emplace_back(edge::ConnectFailed{e.connection});
+      return;
+    }
+    add(peer, e.connection);
+    if (manner_[peer] != Ends::silent) next.emplace_back(edge::Connected{e.connection});
+  }
+  void perform(const edge::Close& e, std::vector<edge::Input>&) {
+    if (e.connection == edge::kListener) listening_ = false;
+    remove(e.connection);
+  }
+  void perform(const edge::ArmTimer& e, std::vector<edge::Input>&) { due_ = std::max(e.at, Time{1}); }
+  void perform(const edge::Log& e, std::vector<edge::Input>&) { log_ += e.line + "\n"; }
+
+  Time now_{std::chrono::hours(500000)};
+  edge::State state_;
+  Time due_{0};
+  edge::ConnectionId last_ = 0;
+  bool listening_ = true;
+  std::map<std::string, std::set<edge::ConnectionId>> links_;
+  std::map<edge::ConnectionId, edge::ConnectionId> owner_;
+  std::map<edge::ConnectionId, std::string> peers_;
+  std::map<std::string, edge::ConnectionId> last_used_;
+  std::map<std::string, std::string> received_;
+  std::map<std::string, Ends> manner_;
+  std::map<std::string, bool> stalled_;
+  std::set<edge::ConnectionId> undrained_;
+  std::string log_;
+};
+
+}  // namespace dahliahall::test
