--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -59,6 +59,7 @@
 constexpr double kFillStrictness = 8;  // power of the share in time by which that excess falls
 constexpr Time kFillMemory = 2s;       // how far back that looks
 constexpr double kLoadMemory = 0.1;    // weight of the newest second in the usual load
+constexpr double kStayAway = 0.5;      // part of the longest wait that clients follow, told with a refusal
 constexpr Time kAskAgain = 1s;         // wait after a failed call to the member list
 
 constexpr std::int64_t kTimerToken = 1;
@@ -596,9 +597,11 @@
 
   // ---- Rule: one final answer ----
 
-  /// How long a refused client should stay away: as long as clients follow. Guards against a client's try
-  /// that comes again at once, while what was full still is. Harm: a passing refusal costs that long.
-  Time stay_away() const { return s_.retry_after ? s_.max_retry_after : Time{0}; }
+  /// How long a refused client should stay away. Guards against a client's try that comes again at once,
+  /// while what was full still is. Harm: a passing refusal costs that long.
+  Time stay_away() const {
+    return s_.retry_after ? from_seconds(kStayAway * seconds(s_.max_retry_after)) : Time{0};
+  }
 
   void conclude(Held& h) {
     if (h.over) return;
