A failed write no longer keeps its socket for ever; bound open calls, bodies, odd bulletins

Seen in review: when a write failed, net/server.cpp flush() told the reducer of the end but kept the socket, so descriptors leaked and SIGTERM never ended the program. Also: the bulletin's times are checked for range, a gap that the bulletin can't fill is passed over at the second try, a client's open calls and all bodies together are bounded, frames are no longer moved one by one.

--- a/src/codec/bulletin.cpp
+++ b/src/codec/bulletin.cpp
@@ -12,7 +12,11 @@
 
 /// Unix milliseconds to the clock that the whole program uses: Unix time in microseconds. All Unix times of
 /// the bulletin pass here.
-Time from_unix_ms(std::int64_t ms) { return std::chrono::milliseconds(ms); }
+Time unix_ms(const Fields& fields, const char* name, std::int64_t value) {
+  // Guards against a moment that overflows when it is counted in microseconds.
+  if (value < 0 || value > 1'000'000'000'000'000) fields.fail(name, "is out of range");
+  return std::chrono::milliseconds(value);
+}
 
 int place(const Fields& fields, const char* name, const std::vector<std::string>& names) {
   const std::string value = fields.text(name);
@@ -31,7 +35,7 @@
   m.cell = fields.small("cell", 0);
   m.zone = place(fields, "locality", names.zones);
   m.kind = place(fields, "flavor", names.kinds);
-  m.started = from_unix_ms(fields.integer("up_since_ms", 0));
+  m.started = unix_ms(fields, "up_since_ms", fields.integer("up_since_ms", 0));
   return listed;
 }
 
@@ -54,7 +58,7 @@
       recall.object = object_id(purge, "item");
     }
     recall.group = purge.integer("lot", 0);
-    recall.issued = from_unix_ms(purge.integer("issued")) + std::chrono::milliseconds(1);
+    recall.issued = unix_ms(purge, "issued", purge.integer("issued")) + std::chrono::milliseconds(1);
     event.recall = recall;
   }
   return event;
--- a/src/codec/thrift.cpp
+++ b/src/codec/thrift.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "codec/thrift.h"
 
+#include <utility>
+
 namespace dahliahall::codec {
 namespace {
 
@@ -189,21 +191,22 @@
 }  // namespace
 
 std::optional<std::string_view> FrameReader::next() {
-  if (used_ > 0) {
-    buffer_.erase(0, used_);
-    used_ = 0;
-  }
-  if (error_ != FrameError::none || buffer_.size() < 4) return std::nullopt;
+  const std::string_view rest = std::string_view(buffer_).substr(used_);
+  const auto wait = [this] {  // what is read is dropped once for many frames, not for each
+    buffer_.erase(0, std::exchange(used_, 0));
+    return std::nullopt;
+  };
+  if (error_ != FrameError::none || rest.size() < 4) return wait();
   std::size_t length = 0;
-  for (std::size_t i = 0; i < 4; ++i) length = length << 8U | static_cast<unsigned char>(buffer_[i]);
+  for (std::size_t i = 0; i < 4; ++i) length = length << 8U | static_cast<unsigned char>(rest[i]);
   // Guards against a peer that announces more than is ever sent: nothing of that size is waited for.
   if (length > kMaxFrame) {
     error_ = FrameError::too_large;
     return std::nullopt;
   }
-  if (buffer_.size() < 4 + length) return std::nullopt;
-  used_ = 4 + length;
-  return std::string_view(buffer_).substr(4, length);
+  if (rest.size() < 4 + length) return wait();
+  used_ += 4 + length;
+  return rest.substr(4, length);
 }
 
 std::variant<Message, MessageError> read_message(std::string_view frame) {
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -42,18 +42,19 @@
   std::vector<codec::BulletinEvent> events;
   reader_.feed(bytes);
   while (const auto read = reader_.next()) {
-    wait_ = kFirstWait;
     try {
       codec::BulletinEvent event = codec::parse_bulletin_event(read->data, names_);
       if (event.number <= last_) continue;  // told already: an event is never applied twice
       // Guards against a gap: a lost purge or drain would break a rule. The next connection asks for what is
-      // missing.
-      if (event.number != last_ + 1) {
+      // missing. A bulletin that does not have it either would block all news for ever: then it is passed
+      // over.
+      if (event.number != last_ + 1 && std::exchange(gap_at_, last_) != last_) {
         context_.log("bulletin gap last=" + std::to_string(last_) + " got=" + std::to_string(event.number));
         end(CloseReason::bad_stream, true);
         return events;
       }
       last_ = event.number;
+      wait_ = kFirstWait;
       ++events_;
       events.push_back(std::move(event));
     } catch (const FieldError& problem) {
--- a/src/edge/bulletin_link.h
+++ b/src/edge/bulletin_link.h
@@ -32,6 +32,7 @@
   std::string address_;
   codec::Names names_;
   std::int64_t last_;
+  std::int64_t gap_at_ = -1;  ///< the event after which one was missing
   ConnectionId id_ = 0;
   bool up_ = false;
   bool stopped_ = false;
--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -9,8 +9,9 @@
 constexpr Time kIdle = 30s;  // clients close theirs after 4 s; this is for those that forget
 // Guards against clients that ask and do not read: past the first bound a client's new requests are refused
 // at once, past the second it is cut off, as is the worst one when all together pass the third.
-constexpr std::size_t kRefuseFrom = 512 * 1024;
+constexpr std::size_t kRefuseFrom = 2 * 1024 * 1024;
 constexpr std::size_t kCutOffFrom = 9 * 1024 * 1024;  // 32 answers of the largest size, and more
+constexpr std::size_t kMostOpen = 128;                // four times what a client may have
 constexpr std::size_t kAllTogether = 48 * 1024 * 1024;
 
 }  // namespace
@@ -63,7 +64,8 @@
 
 bool Fronts::backed_up(ConnectionId connection) const {
   const auto found = fronts_.find(connection);
-  return found != fronts_.end() && found->second.unsent > kRefuseFrom;
+  if (found == fronts_.end()) return false;
+  return found->second.unsent > kRefuseFrom || found->second.open.size() >= kMostOpen;
 }
 
 void Fronts::take(ConnectionId connection, CallTag tag, const std::string& request) {
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -19,7 +19,8 @@
 constexpr Time kServeAfterStop = 1s;  // new connections and requests keep coming for some time after SIGTERM
 // A client counts its patience from when it sent the request, and the answer has a way to go as well.
 constexpr Time kTravel = 10ms;
-constexpr std::size_t kMaxText = 128;  // of an id, a key or a tag
+constexpr std::size_t kMostBodies = 32 * 1024 * 1024;  // of open requests, all together
+constexpr std::size_t kMaxText = 128;                  // of an id, a key or a tag
 
 /// Whether a client's text can stand in a line to a cache as it is. Guards against a request whose fields
 /// would read there as other fields, or as a command of their own.
@@ -241,12 +242,14 @@
       fronts_.answer(front, protocol.failed(call.tag));
       return;
     }
-    if (fronts_.backed_up(front) || !serving_) {
+    // Guards the memory against clients that ask for more than they read, or send more than can be passed on.
+    if (fronts_.backed_up(front) || bodies_ + taken->body.size() > kMostBodies || !serving_) {
       fronts_.answer(front, protocol.refused(call.tag, later(settings_.max_retry_after)));
       return;
     }
     fronts_.take(front, call.tag, id);
     const Request request = taken->request;
+    bodies_ += taken->body.size();
     taken_.emplace(id, std::move(*taken));
     context_.timers.add(request.expires, {Due::request_expired, id, 0, 0});
     tell(request);
@@ -307,7 +310,9 @@
 
   /// The client waits no longer: no answer is owed.
   void withdraw(const std::string& request) {
-    if (request.empty() || taken_.erase(request) == 0) return;
+    const auto found = taken_.find(request);
+    if (found == taken_.end()) return;
+    forget(found);
     tell(Withdrawn{request});
     settle();
   }
@@ -322,6 +327,11 @@
     tell(Withdrawn{request});
   }
 
+  void forget(std::map<std::string, Taken>::iterator taken) {
+    bodies_ -= taken->second.body.size();
+    taken_.erase(taken);
+  }
+
   /// Gives a request its final answer, if it is still owed one.
   template <typename Word>
   void answer(const std::string& request, Word&& word) {
@@ -329,7 +339,7 @@
     if (found == taken_.end()) return;
     const ConnectionId front = found->second.front;
     const CallTag tag = found->second.tag;
-    taken_.erase(found);
+    forget(found);
     fronts_.release(front, tag);
     FrontProtocol* protocol = fronts_.protocol(front);
     if (protocol != nullptr) fronts_.answer(front, word(*protocol, tag));
@@ -467,8 +477,9 @@
   Pool pool_;
   BulletinLink bulletin_;
   std::map<std::string, Taken> taken_;
-  bool listed_ = false;    // the whole list is in
-  bool stopping_ = false;  // SIGTERM has come
+  std::size_t bodies_ = 0;  // bytes of their bodies
+  bool listed_ = false;     // the whole list is in
+  bool stopping_ = false;   // SIGTERM has come
   bool serving_ = true;
   bool stopped_ = false;
   Time armed_{0};
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -16,7 +16,7 @@
 constexpr int kReadsAtOnce = 4;  // then the other sockets have their turn
 constexpr int kBacklog = 512;
 // Guards the memory against a peer that sends and does not read: nothing more is read from it until then.
-constexpr std::size_t kPauseFrom = 1024 * 1024;
+constexpr std::size_t kPauseFrom = 4 * 1024 * 1024;
 
 ObjectPtr<GSocketAddress> address_of(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -52,7 +52,7 @@
   bool connecting = false;
   std::string out;
   std::size_t sent = 0;
-  bool ended = false;  ///< the reducer has been told; only its Close, if any, is missing
+  bool deaf = false;  ///< the other side takes no more bytes; what it sent before is still read
 };
 
 Server::Server(const config::Config& config)
@@ -176,8 +176,8 @@
     g_source_attach(source.get(), nullptr);
   };
   const std::size_t unsent = connection.out.size() - connection.sent;
-  want(connection.readable, G_IO_IN, !connection.connecting && !connection.ended && unsent < kPauseFrom);
-  want(connection.writable, G_IO_OUT, !connection.ended && (connection.connecting || unsent > 0));
+  want(connection.readable, G_IO_IN, !connection.connecting && unsent < kPauseFrom);
+  want(connection.writable, G_IO_OUT, connection.connecting || unsent > 0);
 }
 
 void Server::ready(edge::ConnectionId id, GIOCondition condition) {
@@ -207,7 +207,7 @@
   std::array<char, kReadAtOnce> buffer;
   for (int i = 0; i < kReadsAtOnce; ++i) {
     const auto found = connections_.find(id);
-    if (found == connections_.end() || found->second->ended) return;
+    if (found == connections_.end()) return;
     Error error;
     const gssize size =
         g_socket_receive(found->second->socket.get(), buffer.data(), buffer.size(), nullptr, error.out());
@@ -239,9 +239,11 @@
       }
       return;
     }
-    // The other side has gone. Its last bytes, if any, were read before or are lost with it.
-    connection.ended = true;
-    pending_.push_back(edge::Closed{connection.id, true});
+    // The other side has gone. Guards its last answers, which may still wait to be read, against being lost
+    // with what could not be written: the end is told when they have been read.
+    connection.deaf = true;
+    connection.out.clear();
+    connection.sent = 0;
     return;
   }
   connection.out.clear();
@@ -253,7 +255,7 @@
 
 void Server::perform(const edge::Write& write) {
   const auto found = connections_.find(write.connection);
-  if (found == connections_.end() || found->second->ended) return;
+  if (found == connections_.end() || found->second->deaf) return;
   Connection& connection = *found->second;
   const bool idle = connection.out.empty();
   connection.out += write.bytes;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -230,6 +230,8 @@
   EXPECT_EQ(problem(R"({"roster":{}})"), "field 'no': is missing");
   EXPECT_EQ(problem(R"({"no":1,"roster":{"members":[{"id":"s","phase":"odd"}]}})"),
             "field 'roster.members[0].phase': has the unknown value 'odd'");
+  EXPECT_EQ(problem(R"({"no":1,"recall":{"lot":1,"issued":9000000000000000000}})"),
+            "field 'recall.issued': is out of range");
   EXPECT_EQ(problem(R"({"no":1,"recall":{"lot":1}})"), "field 'recall.issued': is missing");
   EXPECT_NE(problem("{").find("not JSON"), std::string::npos);
   EXPECT_NE(problem("[]"), "none");
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -304,6 +304,15 @@
                   "anna send 1 pages\nbox-1 expect serve 1\n");
 }
 
+TEST(Edge, AGapThatTheBulletinCannotFillIsPassedOver) {
+  VirtualStage stage;
+  const std::string third = roster(3, listed("box-1", "box-1:1", "left"));
+  play(stage,
+       "bulletin expect get last=1\nbulletin send head\n" + third +
+           "wait 100\nbulletin expect get last=1\nbulletin send head\n" + third +
+           "edge expect log list no=3\nanna send 1 pages\nbox-1 expect nothing\nanna expect refused 1\n");
+}
+
 TEST(Edge, ASilentBulletinIsADeadLink) {
   play(R"(
     bulletin expect get last=1
@@ -395,19 +404,33 @@
 
 TEST(Edge, AClientThatDoesNotReadIsRefusedAndItsGiveUpsAreHeard) {
   VirtualStage stage;
-  play(stage,
-       "anna send 1 pages\nbox-1 expect serve 1\nanna send 2 pages\nbox-1 expect serve 2\n"
-       "anna send 3 pages\nbox-1 expect serve 3\nanna send 4 pages\nbox-1 expect serve 4\n");
+  for (int id = 1; id <= 11; ++id)
+    play(stage, "anna send " + std::to_string(id) + " pages\nbox-1 expect serve " + std::to_string(id));
   stage.stall("anna", true);
   const std::string body(240'000, 'x');
-  for (const char id : {'1', '2', '3'}) {
+  for (const char id : {'1', '2', '3', '4', '5', '6', '7', '8', '9'}) {
     stage.send("box-1", std::string("000000000000000") + id + " HIT ver=a 240000\r\n" + body + "\r\n");
   }
-  play(stage,
-       "anna send giveUp 4\nbox-1 expect cancel 4\nanna send 5 pages\nbox-1 expect nothing\n"
-       "anna expect served 1\nanna expect served 2\nanna expect served 3\nanna expect refused 5 later=*\n");
+  std::string scenario =
+      "anna send giveUp 10\nbox-1 expect cancel 10\nanna send 12 pages\nbox-1 expect nothing\n";
+  for (int id = 1; id <= 9; ++id) scenario += "anna expect served " + std::to_string(id) + "\n";
+  play(stage, scenario + "anna expect refused 12 later=500\n");
   stage.stall("anna", false);
-  play(stage, "anna send 6 pages\nbox-1 expect serve 6\n");
+  play(stage, "anna send 13 pages\nbox-1 expect serve 13\n");
+}
+
+TEST(Edge, AClientThatNeverReadsIsCutOffInTheEnd) {
+  VirtualStage stage;
+  const std::string body(1'000'000, 'x');
+  for (int id = 1; id <= 10; ++id)
+    play(stage, "anna send " + std::to_string(id) + " pages\nbox-1 expect serve " + std::to_string(id));
+  stage.stall("anna", true);
+  for (const char id : std::string("123456789a")) {
+    stage.send("box-1", std::string("000000000000000") + id + " HIT ver=a 1000000\r\n" + body + "\r\n");
+  }
+  play(stage,
+       "wait 100\nedge expect log reason=backlog\nanna expect closed\n"
+       "bert send 20 pages\nbox-1 expect serve 20\nbox-1 send HIT 20 ver=a b\nbert expect served 20\n");
 }
 
 // ---- The end ----
