--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -2,6 +2,7 @@
 // The reducer in virtual time. The scenarios' language is described in scenario.h.
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <random>
 
 #include "virtual_stage.h"
@@ -499,6 +500,15 @@
   }
 }
 
+TEST(Edge, TheOnCallPageListsEveryReasonForAnEnd) {
+  std::ifstream file(DAHLIAHALL_ONCALL);
+  const std::string page(std::istreambuf_iterator<char>(file), {});
+  for (int reason = 0; reason <= static_cast<int>(edge::CloseReason::stopping); ++reason) {
+    const std::string name(edge::name_of(static_cast<edge::CloseReason>(reason)));
+    EXPECT_NE(page.find("| `" + name + "` |"), std::string::npos) << name;
+  }
+}
+
 // ---- The end ----
 
 TEST(Edge, AfterTermItGoesOnServingAndThenFinishesWhatItTook) {
