--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -60,7 +60,8 @@
     // Guards against an id whose process or address is another one now: the old connections, which may be
     // silent for ever, are not its own.
     const bool moved = !listed.address.empty() && entry.address != listed.address;
-    if (listed.member.state != MemberState::gone && (entry.member.started != listed.member.started || moved)) {
+    if (listed.member.state != MemberState::gone &&
+        (entry.member.started != listed.member.started || moved)) {
       for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_replaced, true);
     }
     entry.member = listed.member;
