Add the second address, figures, caches out by hand and the replacing of a running process

Now: codec/http_call and edge/admin answer operators before clients, edge/membership lays what is out by hand over the bulletin's list (kept in $TMPDIR), counts are taken where final answers are given, both processes listen at one address. At SIGTERM a filter on the group of listening sockets gives new connections to the next process; what waits in the queue is accepted before the listening socket closes; idle connections end after 1 s, busy ones are served to 2.2 s, and what is taken after SIGTERM is answered within 3.3 s, before SIGKILL may come.

Ruled out: g_socket_bind with reuse: it sets SO_REUSEPORT back to 0 for TCP (the second bind failed with it), so the address is bound directly. A member put back counts as started at that moment for the module only: the pool would have broken off what still ran there.

--- a/src/codec/bulletin.cpp
+++ b/src/codec/bulletin.cpp
@@ -36,6 +36,7 @@
   m.zone = place(fields, "locality", names.zones);
   m.kind = place(fields, "flavor", names.kinds);
   m.started = unix_ms(fields, "up_since_ms", fields.integer("up_since_ms", 0));
+  listed.process = m.started;
   return listed;
 }
 
--- a/src/codec/bulletin.h
+++ b/src/codec/bulletin.h
@@ -16,6 +16,7 @@
 struct ListedMember {
   Member member;
   std::string address;
+  Time process{0};  ///< when its process started, as the bulletin tells; `member.started` may be put later
 };
 struct Roster {
   bool complete = false;
--- /dev/null
+++ b/src/codec/http_call.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+#include "codec/http_call.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace dahliahall::codec {
+namespace {
+
+/// A path without its query and with its escapes read; none where an escape is faulty.
+std::optional<std::string> read_path(std::string_view target) {
+  target = target.substr(0, target.find('?'));
+  std::string path;
+  while (!target.empty()) {
+    if (target.front() != '%') {
+      path.push_back(target.front());
+      target.remove_prefix(1);
+      continue;
+    }
+    unsigned value = 0;
+    const std::string_view digits = target.substr(1, 2);
+    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    if (digits.size() != 2 || problem != std::errc{} || end != digits.data() + 2) return std::nullopt;
+    path.push_back(static_cast<char>(value));
+    target.remove_prefix(3);
+  }
+  return path;
+}
+
+std::string_view reason_of(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+}  // namespace
+
+void HttpCallReader::feed(std::string_view bytes) {
+  if (done_ || broken_) return;
+  // Guards the memory against a head that never ends.
+  head_.append(bytes.substr(0, kMaxCallHead + 1 - std::min(head_.size(), kMaxCallHead + 1)));
+}
+
+std::optional<HttpCall> HttpCallReader::next() {
+  if (done_ || broken_) return std::nullopt;
+  const std::size_t end = head_.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    broken_ = head_.size() > kMaxCallHead;
+    return std::nullopt;
+  }
+  const std::string_view line = std::string_view(head_).substr(0, head_.find("\r\n"));
+  const std::size_t first = line.find(' ');
+  const std::size_t second = line.find(' ', first == std::string_view::npos ? first : first + 1);
+  broken_ = second == std::string_view::npos || first == 0 || line.substr(second + 1, 7) != "HTTP/1.";
+  if (broken_) return std::nullopt;
+  auto path = read_path(line.substr(first + 1, second - first - 1));
+  broken_ = !path || path->empty();
+  if (broken_) return std::nullopt;
+  HttpCall call{std::string(line.substr(0, first)), std::move(*path)};
+  done_ = true;
+  std::string().swap(head_);
+  return call;
+}
+
+std::string write_http_answer(int status, std::string_view body) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(reason_of(status))
+      .append("\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: ");
+  out.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+  return out;
+}
+
+}  // namespace dahliahall::codec
--- /dev/null
+++ b/src/codec/http_call.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// One HTTP/1.1 call on a connection of its own, as the second address takes it. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dahliahall::codec {
+
+constexpr std::size_t kMaxCallHead = 8 * 1024;
+
+struct HttpCall {
+  std::string method;
+  std::string path;  ///< without a query, its escapes read
+};
+
+/// Takes the first call out of a stream of bytes, however it is split. What follows its head is passed over.
+class HttpCallReader {
+ public:
+  void feed(std::string_view bytes);
+  /// The call, once, when its head is whole.
+  std::optional<HttpCall> next();
+  /// What came can't become a call.
+  [[nodiscard]] bool broken() const { return broken_; }
+
+ private:
+  std::string head_;
+  bool done_ = false, broken_ = false;
+};
+
+/// A whole answer, after which the connection ends.
+std::string write_http_answer(int status, std::string_view body);
+
+}  // namespace dahliahall::codec
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,8 @@
 #include <rapidjson/error/en.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <sstream>
 
@@ -20,6 +22,13 @@
   return found == environment.end() ? std::string() : found->second;
 }
 
+/// Guards the folder against a name that would lead out of it.
+std::string file_name(std::string name) {
+  std::replace_if(
+      name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) == 0 && c != '-'; }, '_');
+  return name;
+}
+
 void check_address(const std::string& key, const std::string& address) {
   const std::size_t colon = address.rfind(':');
   int port = 0;
@@ -86,6 +95,11 @@
   check_address(listen.empty() ? "listen" : "GW_LISTEN", config.listen);
   config.bulletin = root.text("bulletin");
   check_address("bulletin", config.bulletin);
+  const std::string admin = from_environment(environment, "GW_ADMIN_ADDR");
+  config.admin = admin.empty() ? root.text("admin_addr", "") : admin;
+  if (!config.admin.empty()) check_address(admin.empty() ? "admin_addr" : "GW_ADMIN_ADDR", config.admin);
+  const std::string folder = from_environment(environment, "TMPDIR");
+  if (!folder.empty()) config.keep_in = folder + "/by-hand-" + file_name(config.name);
   config.seed = read_seed(root);
   const Fields limits = root.object_or_empty("limits");
   config.max_sockets = limits.small("sockets", config.max_sockets);
@@ -113,6 +127,7 @@
   std::vector<std::string> keys;
   if (running.name != read.name) keys.emplace_back("name");
   if (running.listen != read.listen) keys.emplace_back("listen");
+  if (running.admin != read.admin) keys.emplace_back("admin_addr");
   if (running.settings_text != read.settings_text) keys.emplace_back("settings");
   return keys;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -15,6 +15,8 @@
   std::string name;
   std::string listen;    ///< host:port
   std::string bulletin;  ///< host:port
+  std::string admin;     ///< host:port of the second address; empty: there is none
+  std::string keep_in;   ///< file for what outlives the process; empty: nothing does
   std::uint64_t seed = 0;
   int max_sockets = 1024;
   std::size_t memory = std::size_t{192} << 20U;  ///< bytes
--- /dev/null
+++ b/src/edge/admin.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+#include "edge/admin.h"
+
+namespace dahliahall::edge {
+namespace {
+
+constexpr std::string_view kMembers = "/v1/pop-caches/";
+
+}  // namespace
+
+AdminCall read_admin_call(const codec::HttpCall& call) {
+  const auto word = [&call](std::string_view method, AdminWord meant) {
+    return call.method == method ? meant : AdminWord::wrong_method;
+  };
+  std::string_view path = call.path;
+  if (path == "/v1/readyz") return {word("GET", AdminWord::ready), {}};
+  if (path == "/v1/metrics") return {word("GET", AdminWord::metrics), {}};
+  if (path.substr(0, kMembers.size()) != kMembers) return {};
+  path.remove_prefix(kMembers.size());
+  const std::size_t slash = path.rfind('/');
+  if (slash == std::string_view::npos || slash == 0) return {};
+  const std::string member(path.substr(0, slash));
+  path.remove_prefix(slash + 1);
+  if (path == "suspend") return {word("POST", AdminWord::suspend), member};
+  if (path == "resume") return {word("POST", AdminWord::resume), member};
+  return {};
+}
+
+void Admin::accepted(ConnectionId connection) {
+  ++context_.sockets;
+  // Guards the descriptors against callers that connect and say nothing: the oldest makes room for a new one.
+  if (links_.size() >= kMostAdminCalls) {
+    auto oldest = links_.begin();  // ids rise with time
+    for (auto link = links_.begin(); link != links_.end(); ++link) {
+      if (!link->second.answered) {
+        oldest = link;
+        break;
+      }
+    }
+    end(oldest->first, CloseReason::too_many, true);
+  }
+  links_[connection].opened = context_.now;
+}
+
+std::optional<AdminCall> Admin::bytes(ConnectionId connection, std::string_view bytes) {
+  Link& link = links_.at(connection);
+  link.reader.feed(bytes);
+  if (const auto call = link.reader.next()) return read_admin_call(*call);
+  if (link.reader.broken() && !link.answered) answer(connection, 400, "unreadable\n");
+  return std::nullopt;
+}
+
+void Admin::answer(ConnectionId connection, int status, std::string_view body) {
+  Link& link = links_.at(connection);
+  ++link.calls;
+  link.answered = context_.now;
+  context_.write(connection, codec::write_http_answer(status, body));
+  context_.finish(connection);
+}
+
+void Admin::end(ConnectionId connection, CloseReason reason, bool close_it) {
+  const auto found = links_.find(connection);
+  if (found == links_.end()) return;
+  context_.ended({"admin", connection, found->second.opened, found->second.calls, {}}, reason, close_it);
+  links_.erase(found);
+}
+
+void Admin::sweep() {
+  std::vector<std::pair<ConnectionId, CloseReason>> due;
+  for (const auto& [id, link] : links_) {
+    if (link.answered && context_.now - *link.answered >= kLeaveWithin) {
+      due.emplace_back(id, CloseReason::idle);
+    } else if (!link.answered && context_.now - link.opened >= kAdminCallWithin) {
+      due.emplace_back(id, CloseReason::no_message);
+    }
+  }
+  for (const auto& [id, reason] : due) end(id, reason, true);
+}
+
+void Admin::stop() {
+  while (!links_.empty()) end(links_.begin()->first, CloseReason::stopping, true);
+}
+
+}  // namespace dahliahall::edge
--- /dev/null
+++ b/src/edge/admin.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The connections at the second address, where operators call: one call each.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "codec/http_call.h"
+#include "edge/context.h"
+
+namespace dahliahall::edge {
+
+/// What operators can ask for.
+enum class AdminWord { ready, metrics, suspend, resume, unknown, wrong_method };
+struct AdminCall {
+  AdminWord word = AdminWord::unknown;
+  std::string member;  ///< of suspend and resume
+};
+AdminCall read_admin_call(const codec::HttpCall& call);
+
+class Admin {
+ public:
+  explicit Admin(Context& context) : context_(context) {}
+
+  void accepted(ConnectionId connection);
+  [[nodiscard]] bool owns(ConnectionId connection) const { return links_.count(connection) != 0; }
+  /// The call, once it is whole. One that can't be read is answered here.
+  std::optional<AdminCall> bytes(ConnectionId connection, std::string_view bytes);
+  /// The answer; the connection ends once the other side has read it.
+  void answer(ConnectionId connection, int status, std::string_view body);
+  void end(ConnectionId connection, CloseReason reason, bool close_it);
+  /// Ends connections that have stayed for too long.
+  void sweep();
+  void stop();
+
+ private:
+  struct Link {
+    Time opened{0};
+    std::uint64_t calls = 0;
+    std::optional<Time> answered;
+    codec::HttpCallReader reader;
+  };
+
+  Context& context_;
+  std::map<ConnectionId, Link> links_;
+};
+
+}  // namespace dahliahall::edge
--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -20,14 +20,33 @@
 constexpr Time kStandstill = std::chrono::milliseconds(500);
 /// Clients close idle connections after 4 s; this is for those that keep one for good.
 constexpr Time kClientIdle = std::chrono::seconds(6);
-/// How long a client that is turned away may take to read why.
+/// How long a client that is turned away may take to read why; likewise an operator his answer.
 constexpr Time kLeaveWithin = std::chrono::milliseconds(500);
+/// From connecting at the second address to the whole call.
+constexpr Time kAdminCallWithin = std::chrono::seconds(10);
+/// How often what another process of this edge proxy keeps is looked at.
+constexpr Time kLookAtKept = std::chrono::milliseconds(100);
+/// For how long it is known that operators put a member back: longer than any takes to get warm.
+constexpr Time kByHandKept = std::chrono::seconds(60);
+
+// After SIGTERM new connections and requests keep coming for some time. Then those still open are served on,
+// idle ones end, and all is answered before the process may be killed: the longest deadline counts as 3 s.
+constexpr Time kListenAfterStop = std::chrono::seconds(1);
+constexpr Time kServeAfterStop = std::chrono::milliseconds(2200);
+constexpr Time kAnswerAfterStop = std::chrono::milliseconds(3300);
+/// A connection on which nothing has happened for this long has no request on its way.
+constexpr Time kQuiet = std::chrono::milliseconds(100);
 
 // ---- One connection ----
 
 /// What it may send after it was turned away, which is thrown away.
 constexpr std::size_t kMostDiscarded = 256 * 1024;
 constexpr std::size_t kMostOpenCalls = 32;
+/// Connections at the second address.
+constexpr std::size_t kMostAdminCalls = 32;
+/// Members that operators may take out, and members that left of which it is known that they were listed.
+constexpr std::size_t kMostByHand = 1024;
+constexpr std::size_t kMostLeftKnown = 256;
 /// Read from a client, and from another peer, before the other sockets have their turn; likewise accepted.
 constexpr std::size_t kReadFromClient = 16 * 1024;
 constexpr std::size_t kReadAtOnce = 64 * 1024;
--- a/src/edge/fronts.h
+++ b/src/edge/fronts.h
@@ -43,7 +43,7 @@
   std::vector<std::string> end(ConnectionId connection, CloseReason reason, bool close_it);
   /// Connections that should end, and why.
   std::vector<std::pair<ConnectionId, CloseReason>> overdue();
-  /// All that owe nothing more.
+  /// All that owe nothing more and on which nothing has happened for a moment.
   std::vector<ConnectionId> quiet() const;
   [[nodiscard]] bool empty() const { return fronts_.empty(); }
 
--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -47,7 +47,8 @@
       connect_timeout_(config.connect_timeout),
       idle_(std::max(config.connection_idle - kBeforePeer, config.connection_idle / 2)),
       per_link_(static_cast<std::size_t>(config.requests_per_connection)),
-      report_via_(config.settings.report_via) {}
+      report_via_(config.settings.report_via),
+      written_(config.settings.classes.size()) {}
 
 // ---- Members ----
 
@@ -60,11 +61,11 @@
     // Guards against an id whose process or address is another one now: the old connections, which may be
     // silent for ever, are not its own.
     const bool moved = !listed.address.empty() && entry.address != listed.address;
-    if (listed.member.state != MemberState::gone &&
-        (entry.member.started != listed.member.started || moved)) {
+    if (listed.member.state != MemberState::gone && (entry.process != listed.process || moved)) {
       for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_replaced, true);
     }
     entry.member = listed.member;
+    entry.process = listed.process;
     if (!listed.address.empty()) entry.address = listed.address;
   }
   for (auto& [id, entry] : members_) {
@@ -77,6 +78,12 @@
   std::erase_if(members_, [](const auto& m) { return m.second.member.state == MemberState::gone; });
 }
 
+std::size_t Pool::not_running() const {
+  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& m) {
+    return m.second.member.state != MemberState::running;
+  }));
+}
+
 bool Pool::takes_new(const std::string& member) const {
   const auto found = members_.find(member);
   return found != members_.end() && found->second.member.state == MemberState::running;
@@ -202,6 +209,7 @@
     if (link.open.empty()) link.heard = context_.now;  // silence counts from when something was asked
     link.open[key.first] = key.second;
     ++link.requests;
+    ++written_.at(attempt.order.request_class);
     out += render(attempt.order);
     attempt.order.body.clear();
   }
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -21,6 +21,7 @@
   std::string member, source;
   codec::FieldList fields;  ///< all but the ones that depend on the moment of writing
   std::string body;
+  std::size_t request_class = 0;
   std::uint64_t object = 0;
   std::int64_t group = 0;
   Time decided{0};
@@ -61,6 +62,10 @@
   /// Attempts without an ending so far.
   [[nodiscard]] std::size_t out() const { return attempts_.size() + held_back_.size(); }
   [[nodiscard]] std::size_t members() const { return members_.size(); }
+  /// Listed members to which nothing new goes, because they drain or were taken out by hand.
+  [[nodiscard]] std::size_t not_running() const;
+  /// Attempts written so far, by class.
+  [[nodiscard]] const std::vector<std::uint64_t>& written() const { return written_; }
   [[nodiscard]] bool owns(ConnectionId connection) const { return links_.count(connection) != 0; }
   void connected(ConnectionId connection);
   void bytes(ConnectionId connection, std::string_view bytes);
@@ -77,6 +82,7 @@
   struct MemberEntry {
     Member member;
     std::string address;
+    Time process{0};
     std::set<ConnectionId> links;
   };
   struct Outstanding {
@@ -123,6 +129,7 @@
   std::deque<Ended> held_back_;
   std::deque<Probed> probed_;
   std::uint64_t last_probe_ = 0;
+  std::vector<std::uint64_t> written_;
 };
 
 }  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -5,9 +5,11 @@
 #include <array>
 #include <map>
 
+#include "edge/admin.h"
 #include "edge/bulletin_link.h"
 #include "edge/context.h"
 #include "edge/fronts.h"
+#include "edge/membership.h"
 #include "edge/pool.h"
 
 namespace dahliahall::edge {
@@ -17,7 +19,6 @@
 
 constexpr Time kSweepEvery = 100ms;
 constexpr Time kTellEvery = 1s;
-constexpr Time kServeAfterStop = 1s;  // new connections and requests keep coming for some time after SIGTERM
 // A client counts its patience from when it sent the request, and the answer has a way to go as well.
 constexpr Time kTravel = 10ms;
 constexpr std::size_t kMaxText = 128;     // of an id, a key or a tag
@@ -54,6 +55,9 @@
   return value;
 }
 
+/// The kinds of final answers.
+enum class Final { served, refused, failed };
+
 /// A request that was taken and not answered yet. Texts are the bytes that the client sent.
 struct Taken {
   ConnectionId front = 0;
@@ -94,9 +98,11 @@
         settings_(running_.settings),
         router_(config.settings, config.seed),
         context_(config),
+        admin_(context_),
         fronts_(context_),
         pool_(context_, config),
         bulletin_(context_, config) {
+    counted_.resize(settings_.classes.size());
     context_.now = now;
     context_.log("starting name=" + config.name + " listen=" + config.listen +
                  " known=" + std::to_string(config.known_number));
@@ -136,7 +142,11 @@
 
   void on(const Accepted& in) {
     context_.last_connection = std::max(context_.last_connection, in.connection);
-    fronts_.accepted(in.connection);
+    if (in.listener == kAdminListener) {
+      admin_.accepted(in.connection);
+    } else {
+      fronts_.accepted(in.connection);
+    }
   }
 
   void on(const BytesArrived& in) {
@@ -149,6 +159,8 @@
       if (fronts_.broken(in.connection)) turn_away(in.connection);
     } else if (pool_.owns(in.connection)) {
       pool_.bytes(in.connection, in.bytes);
+    } else if (admin_.owns(in.connection)) {
+      if (const auto call = admin_.bytes(in.connection, in.bytes)) on_admin(in.connection, *call);
     } else if (bulletin_.owns(in.connection)) {
       for (const codec::BulletinEvent& event : bulletin_.bytes(in.bytes)) apply(event, false);
     }
@@ -180,6 +192,8 @@
       end_front(connection, reason, false);
     } else if (pool_.owns(connection)) {
       pool_.lost(connection, reason);
+    } else if (admin_.owns(connection)) {
+      admin_.end(connection, reason, false);
     } else if (bulletin_.owns(connection)) {
       bulletin_.lost(reason);
     }
@@ -192,6 +206,9 @@
     if (stopping_) return;
     stopping_ = true;
     context_.log("stopping open=" + std::to_string(taken_.size()));
+    context_.effects.emplace_back(Yield{});
+    stop_by_ = context_.now + kAnswerAfterStop;
+    context_.timers.add(context_.now + kListenAfterStop, {Due::stop_listening, {}, 0, 0});
     context_.timers.add(context_.now + kServeAfterStop, {Due::stop_serving, {}, 0, 0});
   }
 
@@ -209,6 +226,73 @@
   // Guards against a faulty file ending what runs well.
   void on(const ReloadFailed& in) { context_.log("reload failed, nothing changed: " + in.problem); }
 
+  void on(const KeptRead& in) {
+    const codec::Roster changed = membership_.read_kept(in.text);
+    if (!changed.members.empty()) spread(changed, ListKind::changes);
+    settle();
+  }
+
+  // ---- Operators ----
+
+  void on_admin(ConnectionId connection, const AdminCall& call) {
+    switch (call.word) {
+      case AdminWord::ready: {
+        const bool ready = listed_ && !stopping_;
+        admin_.answer(connection, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+        break;
+      }
+      case AdminWord::metrics:
+        admin_.answer(connection, 200, metrics());
+        break;
+      case AdminWord::suspend:
+      case AdminWord::resume:
+        by_hand(connection, call);
+        break;
+      case AdminWord::unknown:
+        admin_.answer(connection, 404, "no such call\n");
+        break;
+      case AdminWord::wrong_method:
+        admin_.answer(connection, 405, "not that way\n");
+        break;
+    }
+  }
+
+  /// The yes comes after all is done: from then on nothing new goes there, and a process started later knows.
+  void by_hand(ConnectionId connection, const AdminCall& call) {
+    const bool out = call.word == AdminWord::suspend;
+    const auto changed =
+        out ? membership_.suspend(call.member, context_.now) : membership_.resume(call.member, context_.now);
+    if (!changed) {
+      admin_.answer(connection, 404, "no such member\n");
+      return;
+    }
+    context_.log(std::string(out ? "suspended" : "resumed") + " member=" + call.member);
+    context_.effects.emplace_back(Keep{membership_.kept()});
+    if (!changed->members.empty()) spread(*changed, ListKind::changes);
+    settle();
+    admin_.answer(connection, 200, "done\n");
+  }
+
+  std::string metrics() const {
+    std::string text;
+    const auto tell_of = [&text](const std::string& name, std::size_t value, const char* kind) {
+      text.append("svc.").append(name).append(":").append(std::to_string(value)).append(kind).append("\n");
+    };
+    std::uint64_t written = 0;
+    for (std::size_t c = 0; c < counted_.size(); ++c) {
+      const std::string calls = "calls." + settings_.classes[c].name + ".";
+      tell_of(calls + "success", counted_[c].served, "|c");
+      tell_of(calls + "busy", counted_[c].refused, "|c");
+      tell_of(calls + "failure", counted_[c].failed, "|c");
+      written += pool_.written()[c];
+    }
+    tell_of("backend_calls", written, "|c");
+    tell_of("inflight", taken_.size(), "|g");
+    tell_of("hosts_listed", pool_.members(), "|g");
+    tell_of("hosts_down", pool_.not_running() + router_.beliefs().shut, "|g");
+    return text;
+  }
+
   // ---- Timers ----
 
   void run_timers() {
@@ -238,9 +322,12 @@
         case Due::tell_load:
           tell_load();
           break;
+        case Due::stop_listening:
+          listening_ = false;
+          context_.close(kListener);
+          break;
         case Due::stop_serving:
           serving_ = false;
-          context_.close(kListener);
           break;
       }
       settle();
@@ -250,6 +337,7 @@
   void sweep() {
     for (const auto& [connection, reason] : fronts_.overdue()) end_front(connection, reason, true);
     pool_.sweep();
+    admin_.sweep();
     bulletin_.sweep();
     context_.timers.add(context_.now + kSweepEvery, {Due::sweep, {}, 0, 0});
   }
@@ -287,11 +375,13 @@
 
   /// After SIGTERM: once nothing is owed any more, all connections end, and with them the program.
   void stop_when_done() {
-    if (serving_ || !taken_.empty() || stopped_) return;
+    if (listening_ || stopped_) return;
     for (const ConnectionId connection : fronts_.quiet()) end_front(connection, CloseReason::stopping, true);
-    if (!fronts_.empty()) return;
+    if (!fronts_.empty() || !taken_.empty()) return;
     stopped_ = true;
     pool_.stop();
+    admin_.stop();
+    if (!running_.admin.empty()) context_.close(kAdminListener);
     bulletin_.stop();
     context_.log("stopped");
   }
@@ -307,21 +397,20 @@
     }
     // Guards against clients that ask for more than they may or read: these refusals take next to no work.
     if (fronts_.backed_up(front) || !serving_) {
-      ++seen_.turned_away;
-      fronts_.answer(front, protocol.refused(call.tag, later(settings_.max_retry_after)));
+      turn_back(front, call);
       return;
     }
     std::string id;
     std::optional<Taken> taken = read_request(front, call, id);
     if (!taken || taken_.count(id) != 0) {
       ++seen_.turned_away;
+      count(class_of(FieldReader(call.fields).text("verb")), Final::failed);
       fronts_.answer(front, protocol.failed(call.tag));
       return;
     }
     // Guards the memory against clients that send more than can be passed on.
     if (bodies_ + taken->body.size() > context_.bounds.bodies) {
-      ++seen_.turned_away;
-      fronts_.answer(front, protocol.refused(call.tag, later(settings_.max_retry_after)));
+      turn_back(front, call);
       return;
     }
     ++seen_.taken;
@@ -334,6 +423,27 @@
     settle();
   }
 
+  /// Refuses without asking the module.
+  void turn_back(ConnectionId front, const Asked& call) {
+    ++seen_.turned_away;
+    count(class_of(FieldReader(call.fields).text("verb")), Final::refused);
+    fronts_.answer(front, fronts_.protocol(front)->refused(call.tag, later(settings_.max_retry_after)));
+  }
+
+  /// The place of a class in the settings; past their end where there is none of that name.
+  std::size_t class_of(std::string_view name) const {
+    const auto& classes = settings_.classes;
+    const auto found =
+        std::find_if(classes.begin(), classes.end(), [&](const RequestClass& c) { return c.name == name; });
+    return static_cast<std::size_t>(found - classes.begin());
+  }
+
+  void count(std::size_t request_class, Final kind) {
+    if (request_class >= counted_.size()) return;
+    Counted& counted = counted_[request_class];
+    ++(kind == Final::served ? counted.served : kind == Final::refused ? counted.refused : counted.failed);
+  }
+
   /// Guards the module's means of work against sizes that no object has.
   double most_kb(const RequestClass& c) const {
     const double most = kMostDeadlines * std::chrono::duration<double>(c.deadline).count();
@@ -352,8 +462,7 @@
     taken.held_tag = fields.text("ver");
     id = fields.text("txn");
     const auto& classes = settings_.classes;
-    const auto known = std::find_if(classes.begin(), classes.end(),
-                                    [&](const RequestClass& c) { return c.name == taken.verb; });
+    const auto known = classes.begin() + static_cast<std::ptrdiff_t>(class_of(taken.verb));
     const auto limit = number_of<std::int64_t>(fields.text("limit"));
     const auto piece = number_of<std::uint64_t>(taken.piece.empty() ? "0" : taken.piece);
     const auto lot = number_of<std::int64_t>(fields.text("lot").empty() ? "0" : fields.text("lot"));
@@ -374,6 +483,8 @@
     r.kb = *kb;
     const Time patience = std::chrono::milliseconds(*limit);
     r.expires = context_.now + std::max(patience - kTravel, patience / 2);
+    // Guards what is taken late against the end of the process: it would never be answered.
+    if (stopping_) r.expires = std::min(r.expires, stop_by_);
     r.write = known->never_kept;
     r.client_retry = fields.text("second") == "1";
     taken.body = std::move(call.body);
@@ -416,7 +527,7 @@
     if (found == taken_.end()) return;
     const int attempts = found->second.attempts;
     for (int n = 0; n < attempts; ++n) pool_.timed_out(request, n);
-    answer(request, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+    answer(request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
     tell(Withdrawn{request});
   }
 
@@ -427,11 +538,12 @@
 
   /// Gives a request its final answer, if it is still owed one.
   template <typename Word>
-  void answer(const std::string& request, Word&& word) {
+  void answer(const std::string& request, Final kind, Word&& word) {
     const auto found = taken_.find(request);
     if (found == taken_.end()) return;
     const ConnectionId front = found->second.front;
     const CallTag tag = found->second.tag;
+    count(static_cast<std::size_t>(found->second.request.request_class), kind);
     forget(found);
     fronts_.release(front, tag);
     FrontProtocol* protocol = fronts_.protocol(front);
@@ -448,15 +560,13 @@
 
   void apply(const codec::BulletinEvent& event, bool remembered) {
     if (event.roster) {
-      pool_.apply(*event.roster);
       listed_ = listed_ || event.roster->complete;
-      MemberList list{
-          event.roster->complete ? (remembered ? ListKind::remembered : ListKind::whole) : ListKind::changes,
-          {}};
-      for (const codec::ListedMember& m : event.roster->members) list.members.push_back(m.member);
-      context_.log("list no=" + std::to_string(event.number) + " complete=" +
-                   (event.roster->complete ? "1" : "0") + " members=" + std::to_string(list.members.size()));
-      tell(list);
+      context_.log("list no=" + std::to_string(event.number) +
+                   " complete=" + (event.roster->complete ? "1" : "0") +
+                   " members=" + std::to_string(event.roster->members.size()));
+      spread(membership_.take(*event.roster, context_.now), !event.roster->complete ? ListKind::changes
+                                                            : remembered            ? ListKind::remembered
+                                                                                    : ListKind::whole);
     }
     if (event.recall) {
       pool_.purged(*event.recall);
@@ -466,6 +576,14 @@
     settle();
   }
 
+  /// Tells the pool and the module of members as they are to be treated from now on.
+  void spread(const codec::Roster& roster, ListKind kind) {
+    pool_.apply(roster);
+    MemberList list{kind, {}};
+    for (const codec::ListedMember& m : roster.members) list.members.push_back(m.member);
+    tell(list);
+  }
+
   // ---- The module ----
 
   void tell(const Event& event) {
@@ -506,7 +624,7 @@
     ++endings_[ended.member][outcome.ending];
     if (outcome.ending == Ending::served) {
       if (taken_.count(ended.request) != 0) ++seen_.served;
-      answer(ended.request, [&ended](FrontProtocol& front, CallTag tag) {
+      answer(ended.request, Final::served, [&ended](FrontProtocol& front, CallTag tag) {
         FrontFields fields;
         if (ended.answer.word == codec::AnswerWord::valid) fields.emplace_back("unchanged", "1");
         if (const auto tagged = codec::field_in(ended.answer.fields, "ver"))
@@ -530,6 +648,7 @@
     if (const auto found = taken_.find(a.request); found != taken_.end()) {
       Taken& taken = found->second;
       order.number = taken.attempts++;
+      order.request_class = static_cast<std::size_t>(taken.request.request_class);
       order.object = taken.request.object;
       order.group = taken.request.group;
       order.until = taken.request.expires;
@@ -559,13 +678,13 @@
   void perform(const Cancel& c) { pool_.cancel(c.request, c.attempt); }
   void perform(const Refuse& r) {
     ++seen_.refused;
-    answer(r.request, [&](FrontProtocol& front, CallTag tag) {
+    answer(r.request, Final::refused, [&](FrontProtocol& front, CallTag tag) {
       return front.refused(tag, later(std::min(r.retry_after, settings_.max_retry_after)));
     });
   }
   void perform(const Fail& f) {
     ++seen_.failed;
-    answer(f.request, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+    answer(f.request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
   }
   void perform(const Wake& w) {
     context_.timers.add(context_.now + w.after, {Due::module_wake, std::to_string(w.token), 0, 0});
@@ -579,11 +698,17 @@
   const Settings& settings_;
   Router router_;
   Context context_;
+  Admin admin_;
   Fronts fronts_;
+  Membership membership_;
   Pool pool_;
   BulletinLink bulletin_;
   std::map<std::string, Taken> taken_;
   std::size_t bodies_ = 0;  // bytes of their bodies
+  struct Counted {
+    std::size_t served = 0, refused = 0, failed = 0;
+  };
+  std::vector<Counted> counted_;  // final answers since the start, by class
   struct Seen {
     int taken = 0, attempts = 0, served = 0, refused = 0, turned_away = 0, failed = 0;
     bool operator==(const Seen&) const = default;
@@ -592,7 +717,9 @@
   Seen seen_;                                             // since the last line on load
   bool listed_ = false;                                   // the whole list is in
   bool stopping_ = false;                                 // SIGTERM has come
+  bool listening_ = true;
   bool serving_ = true;
+  Time stop_by_{0};  // what is taken after SIGTERM is answered by then
   bool stopped_ = false;
   Time armed_{0};
 };
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -20,6 +20,8 @@
 /// Names a connection, from its Connect or Accepted on; never used again. 0 is the listening socket.
 using ConnectionId = std::uint64_t;
 constexpr ConnectionId kListener = 0;
+/// The listening socket at the second address.
+constexpr ConnectionId kAdminListener = ~ConnectionId{0};
 
 /// Why a connection ended. Each ended connection leaves one log line with one of these; docs/oncall.md says
 /// what each means and what to do.
@@ -47,6 +49,7 @@
 
 struct Accepted {
   ConnectionId connection = 0;
+  ConnectionId listener = kListener;
 };
 struct BytesArrived {
   ConnectionId connection = 0;
@@ -75,8 +78,12 @@
 struct ReloadFailed {
   std::string problem;  ///< names the faulty key
 };
+/// What a process of this edge proxy has kept: an earlier one, or one that runs beside it for a while.
+struct KeptRead {
+  std::string text;
+};
 using Input = std::variant<Accepted, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed, TimerDue,
-                           StopAsked, Reloaded, ReloadFailed>;
+                           StopAsked, Reloaded, ReloadFailed, KeptRead>;
 
 // ---- Effects, to be carried out in order ----
 
@@ -105,7 +112,13 @@
 struct Log {
   std::string line;
 };
-using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log>;
+/// New connections go to another process that listens at the same address, where there is one.
+struct Yield {};
+/// To be kept where an upgrade leaves it, before the effects that follow.
+struct Keep {
+  std::string text;
+};
+using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep>;
 
 /// The state of an edge proxy.
 class State {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -2,16 +2,21 @@
 #include "net/server.h"
 
 #include <glib-unix.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <climits>
 #include <cstdio>
-#include <optional>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include "edge/bounds.h"
@@ -33,6 +38,18 @@
   return socket;
 }
 
+/// Binds so that the next process of this edge proxy can listen at the same address while this one still
+/// serves. g_socket_bind would take that option back.
+bool bind_shared(GSocket* socket, GSocketAddress* address) {
+  sockaddr_storage where{};
+  const gssize size = g_socket_address_get_native_size(address);
+  if (size < 0 || !g_socket_address_to_native(address, &where, sizeof where, nullptr)) return false;
+  g_socket_set_option(socket, SOL_SOCKET, SO_REUSEADDR, 1, nullptr);
+  g_socket_set_option(socket, SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
+  return bind(g_socket_get_fd(socket), reinterpret_cast<const sockaddr*>(&where),
+              static_cast<socklen_t>(size)) == 0;
+}
+
 GSourceFuncs timer_funcs{nullptr,
                          nullptr,
                          [](GSource* source, GSourceFunc callback, gpointer data) -> gboolean {
@@ -96,9 +113,63 @@
   waiting_.erase(0, sent);
 }
 
+std::optional<KeptFile::Mark> KeptFile::mark() const {
+  struct stat found {};
+  if (path_.empty() || ::stat(path_.c_str(), &found) != 0) return std::nullopt;
+  return Mark{found.st_ino, found.st_size,
+              std::int64_t{found.st_mtim.tv_sec} * 1'000'000'000 + found.st_mtim.tv_nsec};
+}
+
+std::optional<std::string> KeptFile::read_if_new() {
+  const auto now = mark();
+  if (!now || now == seen_) return std::nullopt;
+  std::ifstream file(path_, std::ios::binary);
+  if (!file) return std::nullopt;
+  seen_ = now;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+bool KeptFile::write(const std::string& text) {
+  // Under another name first: guards whoever reads it meanwhile against half a file.
+  const std::string half = path_ + "-" + std::to_string(getpid());
+  std::ofstream(half, std::ios::binary) << text << std::flush;
+  if (std::rename(half.c_str(), path_.c_str()) != 0) return false;
+  seen_ = mark();
+  return true;
+}
+
 Server::Server(const config::Config& config, std::function<config::Config()> reload)
-    : reload_(std::move(reload)), state_(config, clock_.now()), loop_(g_main_loop_new(nullptr, FALSE)) {
-  listen(config.listen);
+    : reload_(std::move(reload)),
+      state_(config, clock_.now()),
+      loop_(g_main_loop_new(nullptr, FALSE)),
+      kept_(config.keep_in) {
+  listener_ = listen("listen", config.listen);
+  accepting_ = watch_listener(listener_.get(), G_PRIORITY_DEFAULT,
+                              [](GSocket*, GIOCondition, gpointer server) -> gboolean {
+                                static_cast<Server*>(server)->accept();
+                                return G_SOURCE_CONTINUE;
+                              });
+  if (!config.admin.empty()) {
+    admin_listener_ = listen("admin_addr", config.admin);
+    // Guards operators against waiting behind clients: their calls come first at each turn.
+    admin_accepting_ = watch_listener(admin_listener_.get(), G_PRIORITY_HIGH,
+                                      [](GSocket*, GIOCondition, gpointer server) -> gboolean {
+                                        static_cast<Server*>(server)->accept_admin();
+                                        return G_SOURCE_CONTINUE;
+                                      });
+  }
+  if (kept_.named()) {
+    looking_ = Source(g_timeout_source_new(static_cast<guint>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(edge::kLookAtKept).count())));
+    g_source_set_callback(
+        looking_.get(),
+        [](gpointer server) -> gboolean {
+          static_cast<Server*>(server)->read_kept();
+          return G_SOURCE_CONTINUE;
+        },
+        this, nullptr);
+    g_source_attach(looking_.get(), nullptr);
+  }
   polling_ = Source(g_unix_fd_source_new(poller_.descriptor(), G_IO_IN));
   const GUnixFDSourceFunc dispatch = [](gint, GIOCondition, gpointer server) -> gboolean {
     static_cast<Server*>(server)->poll();
@@ -141,29 +212,31 @@
 
 Server::~Server() = default;
 
-void Server::listen(const std::string& address) {
+ObjectPtr<GSocket> Server::listen(const std::string& key, const std::string& address) {
   const auto where = address_of(address);
-  if (!where) throw std::runtime_error("field 'listen': '" + address + "' is no address and port");
-  listener_ = new_socket(where.get());
+  const std::string field = "field '" + key + "': ";
+  if (!where) throw std::runtime_error(field + "'" + address + "' is no address and port");
+  auto listener = new_socket(where.get());
   Error error;
-  if (!listener_ || !g_socket_bind(listener_.get(), where.get(), TRUE, error.out())) {
-    throw std::runtime_error("field 'listen': can't bind " + address + ": " + error.text());
-  }
-  g_socket_set_listen_backlog(listener_.get(), edge::kBacklog);
-  if (!g_socket_listen(listener_.get(), error.out())) {
-    throw std::runtime_error("field 'listen': can't listen on " + address + ": " + error.text());
-  }
-  accepting_ = Source(g_socket_create_source(listener_.get(), G_IO_IN, nullptr));
-  const GSocketSourceFunc dispatch = [](GSocket*, GIOCondition, gpointer server) -> gboolean {
-    static_cast<Server*>(server)->accept();
-    return G_SOURCE_CONTINUE;
-  };
-  g_source_set_callback(accepting_.get(),
-                        reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(dispatch)), this, nullptr);
-  g_source_attach(accepting_.get(), nullptr);
+  if (!listener || !bind_shared(listener.get(), where.get()))
+    throw std::runtime_error(field + "can't bind " + address + ": " + g_strerror(errno));
+  g_socket_set_listen_backlog(listener.get(), edge::kBacklog);
+  if (!g_socket_listen(listener.get(), error.out()))
+    throw std::runtime_error(field + "can't listen on " + address + ": " + error.text());
+  return listener;
+}
+
+Source Server::watch_listener(GSocket* listener, int priority, GSocketSourceFunc dispatch) {
+  Source source(g_socket_create_source(listener, G_IO_IN, nullptr));
+  g_source_set_priority(source.get(), priority);
+  g_source_set_callback(source.get(), reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(dispatch)),
+                        this, nullptr);
+  g_source_attach(source.get(), nullptr);
+  return source;
 }
 
 void Server::run() {
+  read_kept();
   take(edge::TimerDue{});  // what the start itself asks for
   perform(edge::Log{"listening"});
   g_main_loop_run(loop_.get());
@@ -201,21 +274,36 @@
   take(input);
 }
 
+/// What another process of this edge proxy has said of members taken out by hand holds here too.
+void Server::read_kept() {
+  if (const auto text = kept_.read_if_new()) take(edge::KeptRead{*text});
+}
+
 void Server::accept() {
-  poll();  // likewise before new clients
-  for (int i = 0; i < edge::kAcceptsAtOnce && listener_;
-       ++i) {  // guards all others against a flood of new ones
-    Error error;
-    ObjectPtr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, error.out()));
-    if (!socket) {
-      if (!error.is(G_IO_ERROR_WOULD_BLOCK))
-        perform(edge::Log{std::string("accept failed: ") + error.text()});
-      return;
-    }
-    const edge::ConnectionId id = ++last_id_;
-    adopt(id, std::move(socket), false);
-    take(edge::Accepted{id});
+  poll();                                                        // likewise before new clients
+  for (int i = 0; i < edge::kAcceptsAtOnce && listener_; ++i) {  // guards all others against a flood
+    if (!accept_one(listener_.get(), edge::kListener)) return;
+  }
+}
+
+void Server::accept_admin() {
+  for (int i = 0; i < edge::kAcceptsAtOnce && admin_listener_; ++i) {
+    if (!accept_one(admin_listener_.get(), edge::kAdminListener)) return;
+  }
+}
+
+bool Server::accept_one(GSocket* listener, edge::ConnectionId from) {
+  Error error;
+  ObjectPtr<GSocket> socket(g_socket_accept(listener, nullptr, error.out()));
+  if (!socket) {
+    if (!error.is(G_IO_ERROR_WOULD_BLOCK)) perform(edge::Log{std::string("accept failed: ") + error.text()});
+    return false;
   }
+  const edge::ConnectionId id = ++last_id_;
+  adopt(id, std::move(socket), false);
+  connections_.at(id)->first = from == edge::kAdminListener;
+  take(edge::Accepted{id, from});
+  return true;
 }
 
 void Server::adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting) {
@@ -293,6 +381,8 @@
     const gssize size =
         g_socket_receive(found->second->socket.get(), buffer.data(), room, nullptr, error.out());
     if (size > 0) {
+      if (client && found->second->first)
+        read_kept();  // an operator: the other process may have been told more
       take(edge::BytesArrived{id, std::string_view(buffer.data(), static_cast<std::size_t>(size))});
       if (client || static_cast<std::size_t>(size) < room) return;
       continue;
@@ -371,9 +461,19 @@
 void Server::perform(const edge::Close& close) {
   if (close.connection == edge::kListener) {
     accepting_.reset();
+    // Guards those that have connected and were not accepted yet against a reset.
+    while (ObjectPtr<GSocket> socket{g_socket_accept(listener_.get(), nullptr, nullptr)}) {
+      adopt(++last_id_, std::move(socket), false);
+      pending_.push_back(edge::Accepted{last_id_, edge::kListener});
+    }
     listener_.reset();
     return;
   }
+  if (close.connection == edge::kAdminListener) {
+    admin_accepting_.reset();
+    admin_listener_.reset();
+    return;
+  }
   connections_.erase(close.connection);
 }
 
@@ -390,4 +490,21 @@
   log_.line(stamp.data() + log.line);
 }
 
+/// The system hands the connections at one address to its listening sockets by turns; a filter on them all
+/// has it take the second one. This process was there first, so that is the one started after it; where there
+/// is none, the filter names nobody and nothing changes. Guards clients against a connection that waits here
+/// unseen when this listening socket closes: it would be reset.
+void Server::perform(const edge::Yield&) {
+  if (!listener_) return;
+  sock_filter second{BPF_RET | BPF_K, 0, 0, 1};
+  const sock_fprog filter{1, &second};
+  if (setsockopt(g_socket_get_fd(listener_.get()), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &filter,
+                 sizeof filter) != 0)
+    perform(edge::Log{"yield failed: the system takes no filter"});
+}
+
+void Server::perform(const edge::Keep& keep) {
+  if (kept_.named() && !kept_.write(keep.text)) perform(edge::Log{"keep failed: can't write"});
+}
+
 }  // namespace dahliahall::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <tuple>
 
 #include "edge/reducer.h"
 #include "net/glib_ptr.h"
@@ -55,6 +57,24 @@
   std::size_t dropped_ = 0;
 };
 
+/// A small file that outlives the process, and that another one may write as well.
+class KeptFile {
+ public:
+  explicit KeptFile(std::string path) : path_(std::move(path)) {}
+  /// The text, if another process has written it since it was last read or written here.
+  std::optional<std::string> read_if_new();
+  /// False where it can't be written.
+  bool write(const std::string& text);
+  [[nodiscard]] bool named() const { return !path_.empty(); }
+
+ private:
+  using Mark = std::tuple<std::uint64_t, std::int64_t, std::int64_t>;  // which file, its size and its time
+  [[nodiscard]] std::optional<Mark> mark() const;
+
+  std::string path_;
+  std::optional<Mark> seen_;
+};
+
 class Server {
  public:
   /// `reload` reads the configuration again, for SIGHUP; it throws where that is faulty.
@@ -70,7 +90,7 @@
  private:
   struct Connection;
 
-  void listen(const std::string& address);
+  ObjectPtr<GSocket> listen(const std::string& key, const std::string& address);
   void take(const edge::Input& input);
   void feed(const edge::Input& input);
   void perform(const edge::Write& write);
@@ -79,8 +99,13 @@
   void perform(const edge::Close& close);
   void perform(const edge::ArmTimer& timer);
   void perform(const edge::Log& log);
+  void perform(const edge::Yield& yield);
+  void perform(const edge::Keep& keep);
 
+  Source watch_listener(GSocket* listener, int priority, GSocketSourceFunc dispatch);
   void accept();
+  void accept_admin();
+  bool accept_one(GSocket* listener, edge::ConnectionId from);
   void adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting);
   void watch(Connection& connection);
   void poll();
@@ -89,15 +114,17 @@
   void flush(Connection& connection);
   void end_if_empty();
   void reload();
+  void read_kept();
 
   LogWriter log_;
   Clock clock_;
   std::function<config::Config()> reload_;
   edge::State state_;
   LoopPtr loop_;
-  ObjectPtr<GSocket> listener_;
+  ObjectPtr<GSocket> listener_, admin_listener_;
   Poller poller_;
-  Source polling_, accepting_, timer_, term_, interrupt_, hangup_;
+  Source polling_, accepting_, admin_accepting_, timer_, term_, interrupt_, hangup_, looking_;
+  KeptFile kept_;
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
   std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
   bool busy_ = false;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -5,6 +5,7 @@
 #include "codec/bulletin.h"
 #include "codec/cache_lines.h"
 #include "codec/event_stream.h"
+#include "codec/http_call.h"
 #include "codec/thrift.h"
 
 namespace dahliahall::codec {
@@ -257,5 +258,34 @@
   EXPECT_NE(problem("[]"), "none");
 }
 
+// ---- Calls at the second address ----
+
+TEST(HttpCall, IsReadHoweverItIsSplit) {
+  HttpCallReader reader;
+  const std::string bytes = "POST /v1/a%2fb?x=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+  std::optional<HttpCall> call;
+  for (const char c : bytes) {
+    reader.feed(std::string_view(&c, 1));
+    if (auto read = reader.next()) {
+      EXPECT_FALSE(call);  // once
+      call = std::move(read);
+    }
+  }
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call->method, "POST");
+  EXPECT_EQ(call->path, "/v1/a/b");
+}
+
+TEST(HttpCall, WhatIsNoneOrNeverEndsIsBroken) {
+  for (const std::string& bytes :
+       {std::string("hello\r\n\r\n"), std::string("GET /%zz HTTP/1.1\r\n\r\n"),
+        std::string(" / HTTP/1.1\r\n\r\n"), std::string("GET / FTP\r\n\r\n"), std::string(100'000, 'x')}) {
+    HttpCallReader reader;
+    reader.feed(bytes);
+    EXPECT_FALSE(reader.next());
+    EXPECT_TRUE(reader.broken()) << bytes.substr(0, 40);
+  }
+}
+
 }  // namespace
 }  // namespace dahliahall::codec
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -51,6 +51,18 @@
   EXPECT_EQ(config.listen, "10.0.0.5:1");
 }
 
+TEST(Config, TheSecondAddressAndWhatIsKeptAreOptional) {
+  const std::string text = changed(R"("admin_addr":"admin:1",)", "");
+  EXPECT_EQ(parse(text, {}).admin, "");
+  EXPECT_EQ(parse(text, {}).keep_in, "");
+  const Config config =
+      parse(text, {{"GW_ADMIN_ADDR", "10.0.0.4:9091"}, {"TMPDIR", "/t"}, {"GW_NAME", "../n3"}});
+  EXPECT_EQ(config.admin, "10.0.0.4:9091");
+  EXPECT_EQ(config.keep_in, "/t/by-hand-___n3");
+  EXPECT_EQ(problem(text, {{"GW_ADMIN_ADDR", "here"}}),
+            "field 'GW_ADMIN_ADDR': should be host:port, not 'here'");
+}
+
 TEST(Config, WhatIsLeftOutHasADefault) {
   const Config config = parse(changed(R"("conn_idle":30000000,"connect_timeout":400000,)", ""), {});
   EXPECT_EQ(config.connection_idle, std::chrono::seconds(30));
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -155,6 +155,37 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+TEST(Program, AnUpgradeTurnsNobodyBackAndKeepsWhatWasTakenOutByHand) {
+  StartedProgram program({"box-1", "box-2", "up-1", "main"});
+  play(program, R"(
+    ops send POST /v1/pop-caches/box-2/suspend
+    ops expect 200
+    anna send 1 pages
+    box-1 expect serve 1
+  )");
+  program.upgrade();
+  play(program, R"(
+    ops-2 send GET /v1/readyz
+    ops-2 expect 200
+    ops-3 send GET /v1/metrics
+    ops-3 expect 200 svc.hosts_down:1|g
+  )");
+  program.terminate_old();
+  for (int n = 2; n < 30; ++n) {  // by turns they would go to both, and be reset when the old one closes
+    const std::string client = "new-" + std::to_string(n), number = std::to_string(n);
+    play(program, client + " send " + number + " pages\nbox-1 expect serve " + number + "\nbox-1 send HIT " +
+                      number + " ver=a b\n" + client + " expect served " + number + "\nwait 50\n");
+  }
+  play(program, "ops-4 send GET /v1/metrics\nops-4 expect 200 svc.calls.pages.success:28|c");
+  play(program, "box-1 send HIT 1 ver=a b\nanna expect served 1\nanna expect closed");
+  const auto until = std::chrono::steady_clock::now() + program.patience();
+  while (!program.old_stopped() && std::chrono::steady_clock::now() < until)
+    program.wait(std::chrono::milliseconds(10));
+  EXPECT_EQ(program.exit_code(), 0);
+  play(program, "edge send TERM\nedge expect stopped");
+  EXPECT_EQ(program.exit_code(), 0);
+}
+
 TEST(Program, AFaultyConfigurationIsNamedAndEndsIt) {
   StartedProgram program({"box-1"}, [](std::string config) {
     const std::string key = R"("max_retry_after":500000)";
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -18,6 +18,8 @@
 ///     PEER close [reset]        its connections end
 ///     PEER close refusing       and new ones are refused, until "PEER close not"
 ///     PEER close silent         nothing more is heard from it, new connections do not come up
+///     OPERATOR send GET|POST PATH                              a call at the second address (names in
+///     ops...) OPERATOR expect STATUS [LINE ...]                        those lines are in what is answered
 ///     edge send HUP PEER        the configuration names that bulletin now; "nowhere": a faulty address
 ///     edge send TERM | edge expect stopped | edge expect log WORD ...
 ///     wait MILLISECONDS
@@ -39,7 +41,7 @@
 
 /// A member answers on the connection on which it was asked.
 
-/// What a scenario acts on: peers named `bulletin...`, as a listed member, or (all others) clients.
+/// What a scenario acts on: peers named `bulletin...`, `ops...`, as a listed member, or (all others) clients.
 class Stage {
  public:
   virtual ~Stage() = default;
