Cold caches get their part of the told size; the origin takes fills that parents do not

Then: fill_allowed() counts fills at parents and at the origin as one, so fills that a lost hub fails hold back all others.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,9 +38,10 @@
 
 // Guards.
 constexpr double kPatience = 0.6;     // part of the wanted time after which a second copy is worth it
-constexpr double kSoundLimit = 3;     // limit under which a parent is as good as none
 constexpr double kRetryShare = 0.05;  // further attempts paid for by each first one
 constexpr double kRetryBurst = 2;     // further attempts saved up at most
+constexpr double kFaultGain = 0.05;   // weight of a new attempt in a member's share of errors
+constexpr double kOwnFaults = 0.3;    // share above that of its best peer from which errors are its own
 constexpr double kPaceGain = 0.1;     // weight of a new sample in a member's pace
 constexpr double kWorstPace = 3;      // a failure counts as an answer in this many wanted times
 constexpr double kSlowFrom = 2;       // pace over that of its sound peers from which a member gets less
@@ -48,13 +49,15 @@
 constexpr int kStrikes = 3;           // failures in a row that shut a member
 constexpr Time kShutFirst = 500ms;    // the first rest of a shut member; doubles up to kShutLongest
 constexpr Time kShutLongest = 8s;
-constexpr double kLimitStart = 16;    // requests under way at a member before anything is known of it
-constexpr double kLimitUp = 0.02;     // part by which an answer in time raises it, by one a round at least
-constexpr double kLimitDown = 0.1;    // part by which a late answer or a refusal lowers it
-constexpr double kColdUse = 0.7;      // part of a cold member's budget that is used
-constexpr double kMeanMemory = 0.02;  // weight of a new request in the mean work and worth
-constexpr double kPoorRoom = 0.5;     // part of a source's limit open to fills that earn less than usual
-constexpr double kFillExcess = 2;     // further fills let through for each in time of late, if none failed
+constexpr double kLimitStart = 16;      // requests under way at a member before anything is known of it
+constexpr double kLimitUp = 0.02;       // part by which an answer in time raises it, by one a round at least
+constexpr double kLimitDown = 0.1;      // part by which a late answer or a refusal lowers it
+constexpr double kColdUse = 0.7;        // part of a cold member's budget that is used
+constexpr double kColdUseBeside = 0.3;  // the same while another process of this router may still send
+constexpr Time kReplacing = 4s;         // for so long after the start
+constexpr double kMeanMemory = 0.02;    // weight of a new request in the mean work and worth
+constexpr double kPoorRoom = 0.5;       // part of a source's limit open to fills that earn less than usual
+constexpr double kFillExcess = 2;       // further fills let through for each in time of late, if none failed
 constexpr double kLinkFull = 1.5;  // told load of the location's link from which fewer fills are let through
 constexpr double kLinkMemory = 0.3;    // weight of the newest report of it
 constexpr double kFillStrictness = 8;  // power of the share in time by which that excess falls
@@ -93,6 +96,7 @@
   int named = 0;      // tries of requests not over yet that name it
   int under_way = 0;  // own attempts out at it, and fills that name it as source
   double pace = 0;    // recent answers' time over their wanted time
+  double faults = 0;  // share of the attempts at it that end in an error, lately
   int strikes = 0;    // failures in a row
   Time struck_at{-1};
   double limit = kLimitStart;  // requests under way that it answers in time, as learnt
@@ -383,11 +387,11 @@
   }
 
   /// Whether a cold member's budget leaves room for one more request of this class. Guards against
-  /// pushing a freshly started cache or parent over: the budget is an even share of what this router's
-  /// requests have lately been served by the member's peers (what was asked may be far above what they can
-  /// do), and at most its part of the member's size where that is told, times the least part of its
-  /// capacity the member may have by now, times the multiple at which it falls. Harm: at low load it holds
-  /// back more than needed.
+  /// pushing a freshly started cache or parent over. The budget is this router's part of the member's size
+  /// where that is told, else an even share of what its requests have lately been served by the member's
+  /// peers (what was asked may be far above what they can do), times the least part of its capacity the
+  /// member may have by now, times the multiple at which it falls. A router that has just started keeps to
+  /// less: the process it replaces may still send. Harm: at low load it holds back more than needed.
   bool cold_room(Peer& p, double work) {
     if (!cold(p)) return true;
     const bool parent = p.role == Role::parent;
@@ -400,9 +404,10 @@
     for (const std::size_t i : group) weights += weight(peers_[i]);
     double load = (parent ? usual_fills_ : usual_load_) * weight(p) / std::max(weights, 1e-3);
     if (s_.weights == Weights::nominal || s_.weights == Weights::rough) {
-      load = std::min(load, weight(p) / std::max(1, parent ? s_.routers : routers_here()));
+      load = weight(p) / std::max(1, parent ? s_.routers : routers_here());
     }
-    const double budget = kColdUse * multiple * (floor + (1 - floor) * age) * load * seconds(s_.fall_span);
+    const double use = now_ - started_ < kReplacing ? kColdUseBeside : kColdUse;
+    const double budget = use * multiple * (floor + (1 - floor) * age) * load * seconds(s_.fall_span);
     if (budget >= work) return p.sent.sum(now_, s_.fall_span) + work <= budget;
     if (budget <= 0) return false;
     // Less than one request in the rule's span is one in a longer one, from a moment of this router's own on:
@@ -523,19 +528,8 @@
     return true;
   }
 
-  Lately& lately_of(const Try& t) { return t.held_only ? held_fills_ : fills_; }
-
-  /// Whether fills are without parents enough: one of them is cold, or all are shut or failing so that next
-  /// to nothing is left of their limits. Guards fills against the moment when one parent fails and another is
-  /// replaced. Harm: the origin is asked for what the parents would soon have held.
-  bool no_sound_parent() const {
-    const auto parents = members(Role::parent);
-    const auto is_cold = [this](std::size_t i) { return cold(peers_[i]); };
-    const auto sound = [this](std::size_t i) {
-      return now_ >= peers_[i].shut_until && peers_[i].limit >= kSoundLimit;
-    };
-    return std::any_of(parents.begin(), parents.end(), is_cold) ||
-           std::none_of(parents.begin(), parents.end(), sound);
+  Lately& lately_of(const Try& t) {
+    return t.held_only ? held_fills_ : peers_[t.source].role == Role::origin ? origin_fills_ : fills_;
   }
 
   bool writes(const Held& h) const { return h.request.write || class_of(h).never_kept; }
@@ -558,18 +552,19 @@
     const double room =
         worth * (usual_work_ + fill_delay_) < usual_worth_ * (h.work + fill_delay_) ? kPoorRoom : 1;
     std::optional<std::size_t> at, source;
-    // Where fills are held back a parent is still asked for what it holds: that costs the origin nothing.
-    const bool held_only = !writes(h) && !fill_allowed(fills_);
-    if (held_only && (members(Role::parent).empty() || !fill_allowed(held_fills_))) {
-      at = pick(Role::cache, h.key, charge, tried, 1);
-      source = at;
-    } else if (writes(h)) {
+    // Fills that no parent takes, or that are held back there, go to the origin while it answers in time: it
+    // may have room when a parent is lost, fails or is cold. Else a parent is still asked for what it holds.
+    bool held_only = false;
+    if (writes(h)) {
       source = home;
       at = s_.straight ? home : pick(Role::cache, h.key, charge, tried, 1);
     } else {
-      source = pick(Role::parent, mix(h.request.object), charge, tried_sources, room);
-      if (!source && no_sound_parent() && home && peers_[*home].under_way < peers_[*home].limit)
+      const bool parents = !members(Role::parent).empty(), filled = parents && fill_allowed(fills_);
+      if (filled) source = pick(Role::parent, mix(h.request.object), charge, tried_sources, room);
+      if (!source && home && peers_[*home].under_way < peers_[*home].limit && fill_allowed(origin_fills_))
         source = home;
+      held_only = !source && parents && !filled && fill_allowed(held_fills_);
+      if (held_only) source = pick(Role::parent, mix(h.request.object), charge, tried_sources, room);
       at = pick(Role::cache, h.key, charge, tried, 1);
       if (at && !source) source = at;  // the sources are full: what is kept is served, no fill is added
       if (!at && source && s_.straight) at = source;
@@ -713,6 +708,7 @@
       sample(peers_[t.at], kWorstPace);
       if (t.source == t.at) {
         fills_.held_silent += 1;
+        origin_fills_.held_silent += 1;
         held_fills_.held_silent += 1;
         continue;
       }
@@ -761,14 +757,16 @@
     Peer& source = peers_[t.source];
     --p.under_way;
     if (t.source != t.at) --source.under_way;
-    for (Lately* lately : {&fills_, &held_fills_}) {
+    for (Lately* lately : {&fills_, &origin_fills_, &held_fills_}) {
       lately->fade(now_, kFillMemory);
       if (t.source == t.at) lately->held += 1;
     }
     if (t.source != t.at) lately_of(t).asked += 1;
+    if (source.role == Role::origin && !writes(h)) fills_.denied += 1;  // no parent was asked for it
     if (p.role == Role::cache && o.report && o.report->link_fill)
       link_fill_ += kLinkMemory * (*o.report->link_fill - link_fill_);
     t.spoilt = o.ending == Ending::spoilt;
+    p.faults += kFaultGain * ((o.ending == Ending::error ? 1 : 0) - p.faults);
     judge(h, t, o);
     if (may_have_run(o.ending)) ran_.insert(o.request);
     if (o.settled && !h.over) {
@@ -817,11 +815,17 @@
         if (t.source == t.at) held_fills_.denied += 1;  // no fill was asked for
         if (t.source == t.at || t.held_only) {
           fills_.denied += 1;
+          origin_fills_.denied += 1;
           break;
         }
         [[fallthrough]];
       case Ending::shed:
       case Ending::error:
+        if (o.note == Note::unknown && o.ending == Ending::error && own_faults(p)) {
+          too_late(p);
+          sample(p, kWorstPace);
+          break;
+        }
         if (t.source != t.at && !t.late) lately_of(t).refused += 1;
         if (by_source && t.source != t.at) {
           too_late(source);
@@ -849,6 +853,14 @@
     }
   }
 
+  /// Whether the errors at a cache are its own, where none tells: those of a source come back from all caches
+  /// alike. Guards the sources, and all fills, against paying for one cache that fails fast.
+  bool own_faults(const Peer& p) const {
+    double least = 1;
+    for (const std::size_t i : members(p.role)) least = std::min(least, peers_[i].faults);
+    return p.faults > least + kOwnFaults;
+  }
+
   void retry(Held& h, Ending ending) {
     const Try& last = h.tries.back();
     // What was lost on the way is no sign of overload: asking again takes nothing from the budget.
@@ -922,6 +934,7 @@
       fills_in_time_;     // by class, share of the attempts with a source that were in time, lately
   double link_fill_ = 0;  // transfers on the location's link over those that fit, as told
   Lately fills_;          // that the source may have to fetch
+  Lately origin_fills_;   // asked of the origin itself
   Lately held_fills_;     // asked of a parent only where it holds them
   double retry_budget_ = kRetryBurst;
   double usual_work_ = 0, usual_worth_ = 0;    // of a request, as a moving mean
--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -29,13 +29,16 @@
 /// For how long it is known that operators put a member back: longer than any takes to get warm.
 constexpr Time kByHandKept = std::chrono::seconds(60);
 
-// After SIGTERM new connections and requests keep coming for some time. Then those still open are served on,
-// idle ones end, and all is answered before the process may be killed: the longest deadline counts as 3 s.
+// After SIGTERM new connections and requests keep coming for some time. Then each connection ends at the
+// first moment at which it owes nothing: a busy one has few of those, and is served as long as an answer can
+// still come in time. All is answered before the process may be killed: the longest deadline counts as 3 s.
+constexpr Time kEndIdleAfterStop = std::chrono::milliseconds(650);
 constexpr Time kListenAfterStop = std::chrono::seconds(1);
-constexpr Time kServeAfterStop = std::chrono::milliseconds(2200);
-constexpr Time kAnswerAfterStop = std::chrono::milliseconds(3300);
-/// A connection on which nothing has happened for this long has no request on its way.
-constexpr Time kQuiet = std::chrono::milliseconds(100);
+constexpr Time kServeAfterStop = std::chrono::milliseconds(2900);
+constexpr Time kAnswerAfterStop = std::chrono::milliseconds(3400);
+/// A connection on which nothing has happened for this long has no request on its way; a new one may have.
+constexpr Time kQuiet = std::chrono::milliseconds(2);
+constexpr Time kQuietAtFirst = std::chrono::milliseconds(100);
 
 // ---- One connection ----
 
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -24,6 +24,7 @@
   sweep,            // idle and silent connections
   bulletin_connect,
   tell_load,  // a line in the log
+  end_idle,
   stop_listening,
   stop_serving
 };
--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -165,7 +165,8 @@
 std::vector<ConnectionId> Fronts::quiet() const {
   std::vector<ConnectionId> found;
   for (const auto& [id, front] : fronts_) {
-    if (idle(front) && context_.now - front.active >= kQuiet) found.push_back(id);
+    if (idle(front) && context_.now - front.active >= (front.greeted ? kQuiet : kQuietAtFirst))
+      found.push_back(id);
   }
   return found;
 }
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -208,6 +208,7 @@
     context_.log("stopping open=" + std::to_string(taken_.size()));
     context_.effects.emplace_back(Yield{});
     stop_by_ = context_.now + kAnswerAfterStop;
+    context_.timers.add(context_.now + kEndIdleAfterStop, {Due::end_idle, {}, 0, 0});
     context_.timers.add(context_.now + kListenAfterStop, {Due::stop_listening, {}, 0, 0});
     context_.timers.add(context_.now + kServeAfterStop, {Due::stop_serving, {}, 0, 0});
   }
@@ -322,6 +323,9 @@
         case Due::tell_load:
           tell_load();
           break;
+        case Due::end_idle:
+          ending_idle_ = true;
+          break;
         case Due::stop_listening:
           listening_ = false;
           context_.close(kListener);
@@ -375,9 +379,9 @@
 
   /// After SIGTERM: once nothing is owed any more, all connections end, and with them the program.
   void stop_when_done() {
-    if (listening_ || stopped_) return;
+    if (!ending_idle_ || stopped_) return;
     for (const ConnectionId connection : fronts_.quiet()) end_front(connection, CloseReason::stopping, true);
-    if (!fronts_.empty() || !taken_.empty()) return;
+    if (listening_ || !fronts_.empty() || !taken_.empty()) return;
     stopped_ = true;
     pool_.stop();
     admin_.stop();
@@ -717,6 +721,7 @@
   Seen seen_;                                             // since the last line on load
   bool listed_ = false;                                   // the whole list is in
   bool stopping_ = false;                                 // SIGTERM has come
+  bool ending_idle_ = false;  // clients' connections end as soon as they owe nothing
   bool listening_ = true;
   bool serving_ = true;
   Time stop_by_{0};  // what is taken after SIGTERM is answered by then
--- a/tests/bench_free_world.h
+++ b/tests/bench_free_world.h
@@ -111,6 +111,17 @@
     return feed(o);
   }
 
+  /// Ends all attempts that were called off, as the other side does in the end.
+  void end_cancelled() {
+    for (; seen_ < all.size(); ++seen_) {
+      const auto* cancel = std::get_if<Cancel>(&all[seen_]);
+      if (cancel == nullptr) continue;
+      Attempt given_up;
+      given_up.request = cancel->request;
+      finish(given_up, Ending::cancelled, cancel->attempt, Note::unknown);
+    }
+  }
+
   /// Asks for an object and has the first attempt served; returns that attempt.
   Attempt serve(std::uint64_t object, Note note = Note::hit);
 
@@ -122,6 +133,7 @@
  private:
   Router router_;
   int made_ = 0;
+  std::size_t seen_ = 0;
 };
 
 template <typename A>
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -171,6 +171,7 @@
     ops-3 expect 200 svc.hosts_down:1|g
   )");
   program.terminate_old();
+  program.wait(std::chrono::milliseconds(100));  // until it has taken the signal
   for (int n = 2; n < 30; ++n) {  // by turns they would go to both, and be reset when the old one closes
     const std::string client = "new-" + std::to_string(n), number = std::to_string(n);
     play(program, client + " send " + number + " pages\nbox-1 expect serve " + number + "\nbox-1 send HIT " +
