Keep copies of its own and serve them where the module finds the link free in time

Now: edge/copies keeps what came twice alike, up to a seventh of the memory; src/edge/reducer.cpp on_call() tells the module of a good copy and how long it would wait for the link, src/choice.cpp on(Request) decides.

Ruled out: serving noise again (kept only when it came twice alike), a copy from before a purge (dropped, and not taken in), purges untold (no copy while the bulletin has said nothing for 1.5 s), growth (bounded, a test counts).

--- a/include/dahliahall/choice.h
+++ b/include/dahliahall/choice.h
@@ -138,6 +138,7 @@
   Time expires{0};
   bool write = false;
   bool client_retry = false;
+  std::optional<Time> own_copy;  ///< the router holds a good copy itself; how long that waits for its link
 };
 struct TimerFired {
   std::int64_t token = 0;
@@ -227,6 +228,10 @@
 struct Fail {
   std::string request;
 };
+/// Serve the router's own copy; the request is over.
+struct ServeOwn {
+  std::string request;
+};
 struct Wake {
   Time after{0};
   std::int64_t token = 0;
@@ -239,8 +244,8 @@
 struct Remark {
   std::string text;
 };
-using Action =
-    std::variant<Attempt, Cancel, Refuse, Fail, Wake, ProbeMember, FetchList, SubscribeList, Remark>;
+using Action = std::variant<Attempt, Cancel, Refuse, Fail, Wake, ProbeMember, FetchList, SubscribeList,
+                            Remark, ServeOwn>;
 
 /// The decisions of one router.
 class Router {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -64,7 +64,9 @@
 constexpr Time kFillMemory = 2s;       // how far back that looks
 constexpr double kLoadMemory = 0.1;    // weight of the newest second in the usual load
 constexpr double kStayAway = 0.5;      // part of the longest wait that clients follow, told with a refusal
-constexpr Time kAskAgain = 1s;         // wait after a failed call to the member list
+constexpr double kOwnWithin = 0.7;     // part of the wanted time in which an own copy has to be through
+constexpr std::size_t kOwnRare = 2;  // asked for so often in the window: the caches may not hold it any more
+constexpr Time kAskAgain = 1s;       // wait after a failed call to the member list
 
 constexpr std::int64_t kTimerToken = 1;
 
@@ -484,6 +486,13 @@
 
     held.aim = std::min(s_.classes[c].aim + from_seconds(s_.classes[c].aim_stretch * held.work),
                         s_.classes[c].deadline);
+    // A copy of its own spares a fill that would be late or dear. Its link is narrow: what is asked for
+    // often, which the caches hold, goes out there only while it is free.
+    if (r.own_copy && *r.own_copy + from_seconds(held.work) <= from_seconds(kOwnWithin * seconds(held.aim)) &&
+        (r.own_copy->count() == 0 || counts_.count(held.key) <= kOwnRare)) {
+      actions_.push_back(ServeOwn{r.id});
+      return;
+    }
     usual_work_ += kMeanMemory * (held.work - usual_work_);
     usual_worth_ += kMeanMemory * (expected_worth(held) - usual_worth_);
     retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryShare);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -109,6 +109,11 @@
   if (memory_mb < kLeastMemoryMb)
     limits.fail("memory_mb", "should be " + std::to_string(kLeastMemoryMb) + " or more");
   config.memory = static_cast<std::size_t>(memory_mb) << 20U;
+  for (const auto& [key, value] : {std::pair{"flow_bytes_per_s", &config.flow_bytes_per_s},
+                                   std::pair{"link_bytes_per_s", &config.link_bytes_per_s}}) {
+    *value = root.number(key, 0);
+    if (*value < 0) root.fail(key, "should be 0 or more");
+  }
   read_own_settings(config, root.object("settings"));
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> writer(text);
@@ -128,6 +133,8 @@
   if (running.name != read.name) keys.emplace_back("name");
   if (running.listen != read.listen) keys.emplace_back("listen");
   if (running.admin != read.admin) keys.emplace_back("admin_addr");
+  if (running.flow_bytes_per_s != read.flow_bytes_per_s) keys.emplace_back("flow_bytes_per_s");
+  if (running.link_bytes_per_s != read.link_bytes_per_s) keys.emplace_back("link_bytes_per_s");
   if (running.settings_text != read.settings_text) keys.emplace_back("settings");
   return keys;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,6 +25,8 @@
   Time connection_idle{std::chrono::seconds(30)};
   Time connect_timeout{std::chrono::milliseconds(400)};
   int requests_per_connection = 32;
+  double flow_bytes_per_s = 0;  ///< of one answer from a copy of its own; 0: none are kept
+  double link_bytes_per_s = 0;  ///< of all of them
   std::int64_t known_number = 0;
   std::vector<codec::BulletinEvent> known;
   std::string settings_text;  ///< the settings as JSON, to tell whether another file has others
--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -65,6 +65,17 @@
 /// Unsent bytes from which nothing more is read from that peer.
 constexpr std::size_t kPauseFrom = 4 * 1024 * 1024;
 
+// ---- Copies of its own ----
+
+/// The part of the memory that they may take: 1 / this.
+constexpr std::size_t kCopiesPart = 7;
+/// Parts of objects of which it is known what came last.
+constexpr std::size_t kCopiesSeen = 4096;
+/// A copy is not served any more this long before it is too old.
+constexpr Time kCopyMargin = std::chrono::milliseconds(100);
+/// Without a word from the bulletin for this long, none is: purges may have been told in vain.
+constexpr Time kBulletinHeardWithin = std::chrono::milliseconds(1500);
+
 // ---- All together, by the limits that the configuration tells ----
 
 struct Bounds {
--- a/src/edge/bulletin_link.h
+++ b/src/edge/bulletin_link.h
@@ -23,6 +23,8 @@
   void move_to(const std::string& address);
   /// This program stood still: what has come meanwhile is still to be read.
   void excuse();
+  /// Whether its news reach this side, as far as can be told.
+  [[nodiscard]] bool heard() const { return up_ && spoke_ && context_.now - heard_ < kBulletinHeardWithin; }
   /// The connection failed or was ended by the other side.
   void lost(CloseReason reason);
   /// Ends a connection that has been silent too long, or did not come up.
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -8,6 +8,7 @@
 #include "edge/admin.h"
 #include "edge/bulletin_link.h"
 #include "edge/context.h"
+#include "edge/copies.h"
 #include "edge/fronts.h"
 #include "edge/membership.h"
 #include "edge/pool.h"
@@ -24,6 +25,7 @@
 constexpr std::size_t kMaxText = 128;     // of an id, a key or a tag
 constexpr std::size_t kMaxSent = 48'000;  // bytes of a write
 constexpr std::uint64_t kMaxPiece = 1'000'000;
+constexpr std::size_t kSameCopyCosts = 20;  // telling that a copy holds costs this part of sending it
 constexpr int kMostDeadlines = 4;  // the sending time of the largest object, in deadlines of its class
 
 /// Whether a client's text can stand in a line to a cache as it is. Guards against a request whose fields
@@ -101,7 +103,8 @@
         admin_(context_),
         fronts_(context_),
         pool_(context_, config),
-        bulletin_(context_, config) {
+        bulletin_(context_, config),
+        copies_(config) {
     counted_.resize(settings_.classes.size());
     context_.now = now;
     context_.log("starting name=" + config.name + " listen=" + config.listen +
@@ -221,6 +224,7 @@
     running_.max_sockets = in.config.max_sockets;
     running_.memory = in.config.memory;
     context_.bounds = Bounds(running_);
+    copies_.resize(running_.memory);
     context_.log("reloaded bulletin=" + running_.bulletin);
     bulletin_.move_to(running_.bulletin);
   }
@@ -352,12 +356,12 @@
       const Router::Beliefs believed = router_.beliefs();
       context_.log("load taken=" + std::to_string(seen_.taken) +
                    " attempts=" + std::to_string(seen_.attempts) + " served=" + std::to_string(seen_.served) +
-                   " refused=" + std::to_string(seen_.refused) +
+                   " own=" + std::to_string(seen_.own) + " refused=" + std::to_string(seen_.refused) +
                    " turned_away=" + std::to_string(seen_.turned_away) +
                    " failed=" + std::to_string(seen_.failed) + " open=" + std::to_string(taken_.size()) +
                    " out=" + std::to_string(pool_.out()) + " believed_out=" + std::to_string(believed.out) +
                    " shut=" + std::to_string(believed.shut) + " members=" + std::to_string(pool_.members()) +
-                   " kept=" + std::to_string(believed.kept + context_.timers.size()) +
+                   " kept=" + std::to_string(believed.kept + context_.timers.size() + copies_.held()) +
                    " sockets=" + std::to_string(context_.sockets));
     }
     seen_ = {};
@@ -419,7 +423,11 @@
     }
     ++seen_.taken;
     fronts_.take(front, call.tag, id);
-    const Request request = taken->request;
+    Request request = taken->request;
+    // Guards the rule on purges: without its news a copy may be older than one that counts as told.
+    if (!request.write && taken->key.empty() && taken->body.empty() && bulletin_.heard() &&
+        copies_.find(key_of(request), context_.now, max_age_of(request)) != nullptr)
+      request.own_copy = copies_.wait(context_.now);
     bodies_ += taken->body.size();
     taken_.emplace(id, std::move(*taken));
     context_.timers.add(request.expires, {Due::request_expired, id, 0, 0});
@@ -448,6 +456,13 @@
     ++(kind == Final::served ? counted.served : kind == Final::refused ? counted.refused : counted.failed);
   }
 
+  static Copies::Key key_of(const Request& r) {
+    return {static_cast<std::size_t>(r.request_class), r.object, r.part};
+  }
+  Time max_age_of(const Request& r) const {
+    return settings_.classes[static_cast<std::size_t>(r.request_class)].max_age;
+  }
+
   /// Guards the module's means of work against sizes that no object has.
   double most_kb(const RequestClass& c) const {
     const double most = kMostDeadlines * std::chrono::duration<double>(c.deadline).count();
@@ -574,6 +589,7 @@
     }
     if (event.recall) {
       pool_.purged(*event.recall);
+      copies_.purged(*event.recall, context_.now);
       tell(Purge{event.recall->object, event.recall->group,
                  std::max(Time{0}, context_.now - event.recall->issued)});
     }
@@ -627,7 +643,11 @@
     outcome.took = ended.took;
     ++endings_[ended.member][outcome.ending];
     if (outcome.ending == Ending::served) {
-      if (taken_.count(ended.request) != 0) ++seen_.served;
+      if (const auto found = taken_.find(ended.request); found != taken_.end()) {
+        ++seen_.served;
+        const Request& r = found->second.request;
+        if (!r.write) copies_.offer(key_of(r), r.group, ended.answer, context_.now);
+      }
       answer(ended.request, Final::served, [&ended](FrontProtocol& front, CallTag tag) {
         FrontFields fields;
         if (ended.answer.word == codec::AnswerWord::valid) fields.emplace_back("unchanged", "1");
@@ -690,6 +710,22 @@
     ++seen_.failed;
     answer(f.request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
   }
+  void perform(const ServeOwn& own) {
+    const auto found = taken_.find(own.request);
+    if (found == taken_.end()) return;
+    const Taken& taken = found->second;
+    const Copies::Copy* copy = copies_.find(key_of(taken.request), context_.now, max_age_of(taken.request));
+    if (copy == nullptr) return;
+    // Telling a client that the copy it holds is the one takes little of the link.
+    const bool same = !taken.held_tag.empty() && taken.held_tag == copy->tag;
+    copies_.sent(same ? copy->body.size() / kSameCopyCosts : copy->body.size(), context_.now);
+    ++seen_.own;
+    answer(own.request, Final::served, [copy, same](FrontProtocol& front, CallTag tag) {
+      FrontFields fields{{"ver", copy->tag}};
+      if (same) fields.emplace_back("unchanged", "1");
+      return front.served(tag, same ? std::string_view() : std::string_view(copy->body), fields);
+    });
+  }
   void perform(const Wake& w) {
     context_.timers.add(context_.now + w.after, {Due::module_wake, std::to_string(w.token), 0, 0});
   }
@@ -707,6 +743,7 @@
   Membership membership_;
   Pool pool_;
   BulletinLink bulletin_;
+  Copies copies_;
   std::map<std::string, Taken> taken_;
   std::size_t bodies_ = 0;  // bytes of their bodies
   struct Counted {
@@ -714,7 +751,7 @@
   };
   std::vector<Counted> counted_;  // final answers since the start, by class
   struct Seen {
-    int taken = 0, attempts = 0, served = 0, refused = 0, turned_away = 0, failed = 0;
+    int taken = 0, attempts = 0, served = 0, own = 0, refused = 0, turned_away = 0, failed = 0;
     bool operator==(const Seen&) const = default;
   };
   std::map<std::string, std::map<Ending, int>> endings_;  // of attempts by member, likewise
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -127,6 +127,7 @@
     text("store", p.member);
     end();
   }
+  void operator()(const ServeOwn&) {}  // the simulator's routers hold no copies
   void operator()(const FetchList&) {
     begin("read_list");
     end();
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -183,6 +183,23 @@
   }
 }
 
+TEST(OwnCopies, GoOutWhereTheyAreInTimeAndTheHotOnesOnlyOnAFreeLink) {
+  World world;
+  const auto own = [&world](std::uint64_t object, Time wait) {
+    Request r = world.request(object);
+    r.own_copy = wait;
+    const auto actions = world.feed(r);
+    EXPECT_EQ(only<ServeOwn>(actions).size() + only<Attempt>(actions).size(), 1U);
+    return !only<ServeOwn>(actions).empty();
+  };
+  EXPECT_TRUE(own(1, 0ms));
+  EXPECT_TRUE(own(1, 100ms));
+  EXPECT_FALSE(own(1, 100ms));  // asked for the third time: the caches hold it
+  EXPECT_TRUE(own(1, 0ms));
+  EXPECT_FALSE(own(2, 400ms));  // too late: wanted within 0.5 s
+  EXPECT_EQ(world.beliefs().out, 2U);
+}
+
 TEST(Health, ErrorsOfOneCacheAloneAreItsOwnAndCostItsSourcesNothing) {
   // Found on days with a cache that fails fast: its errors were laid to the parents, all fills were held
   // back, and it went on getting its full part.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -63,6 +63,14 @@
             "field 'GW_ADMIN_ADDR': should be host:port, not 'here'");
 }
 
+TEST(Config, TheLinkOfItsOwnCopiesIsOptional) {
+  EXPECT_EQ(parse(config_text({"main"}, kAddresses), {}).link_bytes_per_s, 200'000);
+  const std::string text = changed(R"("flow_bytes_per_s":100000,)", "");
+  EXPECT_EQ(parse(text, {}).flow_bytes_per_s, 0);
+  EXPECT_EQ(problem(changed(R"("flow_bytes_per_s":100000)", R"("flow_bytes_per_s":-1)")),
+            "field 'flow_bytes_per_s': should be 0 or more");
+}
+
 TEST(Config, WhatIsLeftOutHasADefault) {
   const Config config = parse(changed(R"("conn_idle":30000000,"connect_timeout":400000,)", ""), {});
   EXPECT_EQ(config.connection_idle, std::chrono::seconds(30));
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <sstream>
 
+#include "edge/copies.h"
 #include "virtual_stage.h"
 
 namespace dahliahall::test {
@@ -901,6 +902,127 @@
   )");
 }
 
+// ---- Copies of its own ----
+
+/// Has a part of object 1, in group 17, come twice from a cache.
+std::string twice(const std::string& verb, const std::string& first, const std::string& second) {
+  std::string text = "bulletin send head\n";
+  int number = 1;
+  for (const std::string& answer : {first, second}) {
+    const std::string n = std::to_string(number++);
+    text += "anna send " + n + " " + verb + " item=00000000000000aa\nbox-1 expect serve " + n +
+            "\nbox-1 send HIT " + n + " " + answer + "\nanna expect served " + n + "\n";
+  }
+  return text;
+}
+
+TEST(Copies, WhatCameTwiceAlikeIsServedFromItsOwn) {
+  play(twice("video", "ver=t1,born=5 the bytes", "ver=t1,born=6 the bytes") + R"(
+    anna send 3 video item=00000000000000aa
+    anna expect served 3 ver=t1 !unchanged body=the bytes
+    anna send 4 video item=00000000000000aa ver=t1
+    anna expect served 4 ver=t1 unchanged=1 body=
+    anna send 5 video item=00000000000000aa piece=4
+    box-1 expect serve 5
+    anna send 6 pages item=00000000000000aa
+    box-1 expect serve 6
+    ops send GET /v1/metrics
+    ops expect 200 svc.calls.video.success:4|c svc.backend_calls:4|c
+    wait 1100
+    edge expect log own=2
+  )");
+}
+
+TEST(Copies, NoiseOnTheWayIsNotServedAgain) {
+  play(twice("video", "ver=t1,born=5 the bytes", "ver=t1,born=6 the bXtes") + R"(
+    anna send 3 video item=00000000000000aa
+    box-1 expect serve 3
+  )");
+}
+
+TEST(Copies, APurgeEndsThemAndWhatIsUnderWayFromBeforeItIsNotKept) {
+  VirtualStage stage;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count();
+  const std::string old = "ver=t1,born=" + std::to_string(ms - 50) + " b",
+                    young = "ver=t1,born=" + std::to_string(ms + 1) + " b";
+  play(stage, twice("video", old, old) + R"(
+    anna send 3 video item=00000000000000aa
+    anna expect served 3
+    bulletin send {"no":2,"recall":{"lot":17,"issued":)" +
+                  std::to_string(ms - 1) + R"(}}
+    anna send 4 video item=00000000000000aa
+    box-1 expect serve 4
+    box-1 send HIT 4 )" +
+                  old + R"(
+    anna expect served 4
+    anna send 5 video item=00000000000000aa
+    box-1 expect serve 5
+    box-1 send HIT 5 )" +
+                  young + R"(
+    anna expect served 5
+    anna send 6 video item=00000000000000aa
+    anna expect served 6
+  )");
+}
+
+TEST(Copies, AreNotServedPastTheirTimeOrWhileTheBulletinIsNotHeard) {
+  VirtualStage stage;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count();
+  const std::string answer = "ver=t1,born=" + std::to_string(ms - 5000) + " b";
+  play(stage, twice("pages", answer, answer) + R"(
+    anna send 3 pages item=00000000000000aa
+    anna expect served 3
+    wait 1600
+    anna send 4 pages item=00000000000000aa
+    box-1 expect serve 4
+    bulletin send comment
+    anna send 5 pages item=00000000000000aa
+    anna expect served 5
+    wait 1000
+    bulletin send comment
+    wait 400
+    anna send 6 pages item=00000000000000aa
+    box-1 expect serve 6
+  )");
+}
+
+TEST(Copies, TheLinkBearsSoManyAtOnceAndTheRestIsAskedOfTheCaches) {
+  VirtualStage stage;
+  const std::string body(20'000, 'y');  // 0.2 s of one of two transfers
+  play(stage, twice("video ram=1800", "ver=t1,born=5 " + body, "ver=t1,born=6 " + body));
+  play(stage, R"(
+    anna send 3 video ram=1800 item=00000000000000aa
+    anna expect served 3
+    anna send 4 video ram=1800 item=00000000000000aa
+    anna expect served 4
+    # asked for often: the caches hold it
+    anna send 5 video ram=1800 item=00000000000000aa
+    box-1 expect serve 5
+    wait 210
+    anna send 6 video ram=1800 item=00000000000000aa
+    anna expect served 6
+  )");
+}
+
+TEST(Copies, TakeNoMoreThanTheirPartOfTheMemory) {
+  config::Config config = config::parse(config_text({"main"}, {}, 16), {});
+  edge::Copies copies(config);
+  codec::CacheAnswer answer;
+  answer.word = codec::AnswerWord::hit;
+  answer.fields = "ver=a,born=5";
+  answer.body = std::string(100'000, 'y');
+  const Time now = std::chrono::hours(500000);
+  std::size_t kept = 0;
+  for (std::uint64_t object = 0; object < 10'000; ++object) {
+    copies.offer({0, object, 0}, 1, answer, now);
+    copies.offer({0, object, 0}, 1, answer, now);
+  }
+  for (std::uint64_t object = 0; object < 10'000; ++object)
+    kept += copies.find({0, object, 0}, now, Time{0}) != nullptr ? 1 : 0;
+  EXPECT_EQ(kept, 16U * 1024 * 1024 / 7 / 100'000);
+  EXPECT_LE(copies.held(), kept + 4096);
+}
+
 // ---- Replacing the process ----
 
 TEST(Edge, AfterTermNewConnectionsGoToTheNextProcessAndBusyOnesAreServedOn) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -375,7 +375,8 @@
       members.empty()
           ? R"({"no":0,"items":[]})"
           : R"({"no":1,"items":[{"no":1,"roster":{"revision":1,"complete":true,"members":[)" + list + "]}}]}";
-  return R"({"name":"n1","admin_addr":")" + address("admin") + R"(","listen":")" + address("edge") +
+  return R"({"name":"n1","flow_bytes_per_s":100000,"link_bytes_per_s":200000,"admin_addr":")" +
+         address("admin") + R"(","listen":")" + address("edge") +
          R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,)" + R"("memory_mb":)" +
          std::to_string(memory_mb) + R"(,"sockets":256},"bulletin":")" + address("bulletin") +
          R"(","known":)" + known +
