--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,7 +29,7 @@
 using namespace std::chrono_literals;
 
 // The design's open values.
-constexpr Time kWindowPerRouter = 10s;     // the counting window, times the location's routers
+constexpr Time kWindowPerRouter = 20s;     // the counting window, times the location's routers
 constexpr Time kRecompute = 1s;            // how often gold is chosen anew
 constexpr std::size_t kGold = 20;          // objects kept at the middle rank
 constexpr std::size_t kBronzeCount = 1;    // seen so often in the window: passed through unkept
