--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -114,7 +114,7 @@
 };
 /// New connections go to another process that listens at the same address, where there is one.
 struct Yield {};
-/// To be kept where an upgrade leaves it, before the effects that follow.
+/// To be kept where an upgrade leaves it; the newest counts.
 struct Keep {
   std::string text;
 };
--- /dev/null
+++ b/src/net/kept_file.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What outlives the process.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "net/glib_ptr.h"
+
+namespace dahliahall::net {
+
+/// A small file that outlives the process, and that another one may write as well. It may lie on a disk:
+/// guards all else against waiting for one by having GIO write it beside the loop.
+class KeptFile {
+ public:
+  /// `failed` is told of a write that failed.
+  KeptFile(const std::string& path, std::function<void(const char*)> failed);
+  /// The text, if another process has written it since it was last read or written here.
+  std::optional<std::string> read_if_new();
+  void write(std::string text);
+  [[nodiscard]] bool named() const { return !path_.empty(); }
+
+ private:
+  using Mark = std::tuple<std::uint64_t, std::int64_t, std::int64_t>;  // which file, its size and its time
+  [[nodiscard]] std::optional<Mark> mark() const;
+  void start_writing();
+  void written(GAsyncResult* result);
+
+  std::string path_;
+  std::function<void(const char*)> failed_;
+  ObjectPtr<GFile> file_;
+  std::optional<Mark> seen_;
+  std::optional<std::string> waiting_;  // to be written next
+  bool writing_ = false;
+};
+
+}  // namespace dahliahall::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -8,15 +8,12 @@
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
 #include <climits>
 #include <cstdio>
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
 
 #include "edge/bounds.h"
@@ -113,36 +110,12 @@
   waiting_.erase(0, sent);
 }
 
-std::optional<KeptFile::Mark> KeptFile::mark() const {
-  struct stat found {};
-  if (path_.empty() || ::stat(path_.c_str(), &found) != 0) return std::nullopt;
-  return Mark{found.st_ino, found.st_size,
-              std::int64_t{found.st_mtim.tv_sec} * 1'000'000'000 + found.st_mtim.tv_nsec};
-}
-
-std::optional<std::string> KeptFile::read_if_new() {
-  const auto now = mark();
-  if (!now || now == seen_) return std::nullopt;
-  std::ifstream file(path_, std::ios::binary);
-  if (!file) return std::nullopt;
-  seen_ = now;
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
-bool KeptFile::write(const std::string& text) {
-  // Under another name first: guards whoever reads it meanwhile against half a file.
-  const std::string half = path_ + "-" + std::to_string(getpid());
-  std::ofstream(half, std::ios::binary) << text << std::flush;
-  if (std::rename(half.c_str(), path_.c_str()) != 0) return false;
-  seen_ = mark();
-  return true;
-}
-
 Server::Server(const config::Config& config, std::function<config::Config()> reload)
     : reload_(std::move(reload)),
       state_(config, clock_.now()),
       loop_(g_main_loop_new(nullptr, FALSE)),
-      kept_(config.keep_in) {
+      kept_(config.keep_in,
+            [this](const char* why) { perform(edge::Log{std::string("keep failed: ") + why}); }) {
   listener_ = listen("listen", config.listen);
   accepting_ = watch_listener(listener_.get(), G_PRIORITY_DEFAULT,
                               [](GSocket*, GIOCondition, gpointer server) -> gboolean {
@@ -504,7 +477,7 @@
 }
 
 void Server::perform(const edge::Keep& keep) {
-  if (kept_.named() && !kept_.write(keep.text)) perform(edge::Log{"keep failed: can't write"});
+  if (kept_.named()) kept_.write(keep.text);
 }
 
 }  // namespace dahliahall::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -8,12 +8,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
-#include <tuple>
 
 #include "edge/reducer.h"
 #include "net/glib_ptr.h"
+#include "net/kept_file.h"
 
 namespace dahliahall::net {
 
@@ -57,24 +56,6 @@
   std::size_t dropped_ = 0;
 };
 
-/// A small file that outlives the process, and that another one may write as well.
-class KeptFile {
- public:
-  explicit KeptFile(std::string path) : path_(std::move(path)) {}
-  /// The text, if another process has written it since it was last read or written here.
-  std::optional<std::string> read_if_new();
-  /// False where it can't be written.
-  bool write(const std::string& text);
-  [[nodiscard]] bool named() const { return !path_.empty(); }
-
- private:
-  using Mark = std::tuple<std::uint64_t, std::int64_t, std::int64_t>;  // which file, its size and its time
-  [[nodiscard]] std::optional<Mark> mark() const;
-
-  std::string path_;
-  std::optional<Mark> seen_;
-};
-
 class Server {
  public:
   /// `reload` reads the configuration again, for SIGHUP; it throws where that is faulty.
