--- /dev/null
+++ b/tests/purge_test.cpp
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: MIT
+// Purges by tag and pattern: selectors, the index against a plain scan, the order over a feed, the ledger.
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "purge/key_index.h"
+#include "purge/ledger.h"
+#include "purge/selector.h"
+#include "purge/sequencer.h"
+
+namespace dahliahall::purge {
+namespace {
+
+Selector sel(const std::string& text) {
+  auto parsed = parse_selector(text);
+  EXPECT_TRUE(std::holds_alternative<Selector>(parsed)) << text;
+  return std::get<Selector>(parsed);
+}
+
+std::string error_of(const std::string& text) {
+  auto parsed = parse_selector(text);
+  return std::holds_alternative<SelectorError>(parsed) ? std::get<SelectorError>(parsed).message : "";
+}
+
+PurgeCommand command(Sequence n, const std::string& selector, long long issued = 0) {
+  return {n, sel(selector), UnixMs{issued}};
+}
+
+std::vector<Sequence> applied_numbers(const std::vector<SequencerEffect>& effects) {
+  std::vector<Sequence> out;
+  for (const auto& e : effects)
+    if (const auto* a = std::get_if<Apply>(&e)) out.push_back(a->command.number);
+  return out;
+}
+
+TEST(PurgeSelector, ParsesEachKind) {
+  EXPECT_EQ(sel("key:7f3a9c21e0b4d655"), (Selector{SelectorKind::key, "7f3a9c21e0b4d655"}));
+  EXPECT_EQ(sel("tag:class-4b"), (Selector{SelectorKind::tag, "class-4b"}));
+  EXPECT_EQ(sel("prefix:school/12/"), (Selector{SelectorKind::prefix, "school/12/"}));
+  EXPECT_EQ(sel("prefix:"), (Selector{SelectorKind::prefix, ""}));
+  EXPECT_EQ(sel("glob:school/*/proof-?.jpg"), (Selector{SelectorKind::glob, "school/*/proof-?.jpg"}));
+}
+
+TEST(PurgeSelector, MalformedOnesNameTheirFault) {
+  EXPECT_NE(error_of("school/12").find("want KIND:TEXT"), std::string::npos);
+  EXPECT_NE(error_of("regex:a.*").find("unknown kind 'regex'"), std::string::npos);
+  EXPECT_NE(error_of("tag:").find("empty tag"), std::string::npos);
+  EXPECT_NE(error_of("key:a b").find("unprintable"), std::string::npos);
+  EXPECT_NE(error_of("prefix:a*").find("glob only"), std::string::npos);
+  EXPECT_NE(error_of("key:" + std::string(513, 'a')).find("longer than 512"), std::string::npos);
+}
+
+TEST(PurgeSelector, GlobsMatchWholeKeys) {
+  EXPECT_TRUE(glob_matches("a*c", "abbbc"));
+  EXPECT_TRUE(glob_matches("a*c", "ac"));
+  EXPECT_FALSE(glob_matches("a*c", "acb"));
+  EXPECT_TRUE(glob_matches("*", ""));
+  EXPECT_TRUE(glob_matches("?b*", "abz"));
+  EXPECT_FALSE(glob_matches("?b", "b"));
+  EXPECT_TRUE(glob_matches("*a*a*a*b", std::string(40, 'a') + "b"));
+  EXPECT_FALSE(glob_matches("*a*a*a*b", std::string(40, 'a')));
+  EXPECT_EQ(literal_prefix("school/*/x"), "school/");
+  EXPECT_EQ(literal_prefix("?x"), "");
+}
+
+TEST(PurgeIndex, FindsByTagPrefixAndGlob) {
+  KeyIndex index;
+  index.put("s1/c4/photo-1", {"class-4", "s1"});
+  index.put("s1/c4/photo-2", {"class-4", "s1", "class-4"});
+  index.put("s1/c5/photo-1", {"class-5", "s1"});
+  index.put("s2/c4/photo-1", {"class-4", "s2"});
+  EXPECT_EQ(index.match(sel("tag:class-4")),
+            (std::vector<std::string>{"s1/c4/photo-1", "s1/c4/photo-2", "s2/c4/photo-1"}));
+  EXPECT_EQ(index.match(sel("prefix:s1/c4/")), (std::vector<std::string>{"s1/c4/photo-1", "s1/c4/photo-2"}));
+  EXPECT_EQ(index.match(sel("glob:*/c4/photo-1")),
+            (std::vector<std::string>{"s1/c4/photo-1", "s2/c4/photo-1"}));
+  EXPECT_EQ(index.match(sel("key:s1/c5/photo-1")), (std::vector<std::string>{"s1/c5/photo-1"}));
+}
+
+TEST(PurgeIndex, APatternThatMatchesNothingAndOneThatMatchesEverything) {
+  KeyIndex index;
+  for (int i = 0; i < 50; ++i) index.put("k" + std::to_string(i), {"t" + std::to_string(i % 3)});
+  EXPECT_TRUE(index.match(sel("glob:zz*")).empty());
+  EXPECT_TRUE(index.match(sel("tag:unknown")).empty());
+  EXPECT_TRUE(index.match(sel("key:k50")).empty());
+  EXPECT_EQ(index.match(sel("glob:*")).size(), 50U);
+  EXPECT_EQ(index.match(sel("prefix:")).size(), 50U);
+}
+
+TEST(PurgeIndex, ReplacedTagsAndErasedKeysLeaveNothingBehind) {
+  // Guards memory: nothing grows with keys or tags ever seen, over many generations.
+  KeyIndex index;
+  for (int generation = 0; generation < 200; ++generation) {
+    for (int i = 0; i < 100; ++i) {
+      const std::string key = "g" + std::to_string(generation) + "/" + std::to_string(i);
+      index.put(key, {"gen-" + std::to_string(generation), "i" + std::to_string(i % 7)});
+      index.put(key, {"gen-" + std::to_string(generation)});
+    }
+    if (generation >= 2) {
+      for (const std::string& key : index.match(sel("tag:gen-" + std::to_string(generation - 2))))
+        index.erase(key);
+    }
+    ASSERT_LE(index.keys(), 300U);
+    ASSERT_LE(index.tags(), 3U);
+  }
+  EXPECT_TRUE(index.match(sel("tag:i3")).empty());
+}
+
+TEST(PurgeIndex, AgreesWithAPlainScanOnRandomKeys) {
+  std::mt19937 random(7);
+  KeyIndex index;
+  const std::string letters = "abc/";
+  auto word = [&](std::size_t longest) {
+    std::string w;
+    const std::size_t n = 1 + random() % longest;
+    for (std::size_t i = 0; i < n; ++i) w += letters[random() % letters.size()];
+    return w;
+  };
+  for (int i = 0; i < 2000; ++i) {
+    const std::string key = word(10);
+    if (random() % 5 == 0) {
+      index.erase(key);
+    } else {
+      index.put(key, {word(2), word(2)});
+    }
+  }
+  for (int i = 0; i < 300; ++i) {
+    std::string glob = word(6);
+    glob[random() % glob.size()] = random() % 2 == 0 ? '*' : '?';
+    for (const std::string& text :
+         {"tag:" + word(2), "prefix:" + word(3), "glob:" + glob, "key:" + word(10)}) {
+      const Selector s = sel(text);
+      ASSERT_EQ(index.match(s), index.match_by_scan(s)) << text;
+    }
+  }
+}
+
+TEST(PurgeSequencer, AppliesInOrderWhatArrivesOutOfOrder) {
+  // Two overlapping purges in the wrong order: the older number goes first, whatever came first.
+  SequencerState state;
+  auto effects = reduce(state, Arrived{command(2, "prefix:s1/", 2000)});
+  EXPECT_TRUE(applied_numbers(effects).empty());
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<AskFrom>(effects[0]).number, 1U);
+  effects = reduce(state, Arrived{command(3, "tag:class-4", 3000)});
+  EXPECT_TRUE(effects.empty()) << "the gap is asked for once";
+  effects = reduce(state, Arrived{command(1, "glob:s1/*", 1000)});
+  EXPECT_EQ(applied_numbers(effects), (std::vector<Sequence>{1, 2, 3}));
+  EXPECT_EQ(state.applied, 3U);
+  EXPECT_TRUE(state.held.empty());
+}
+
+TEST(PurgeSequencer, DuplicatesAndConflictsAreDroppedAndNamed) {
+  SequencerState state;
+  reduce(state, Arrived{command(1, "tag:a")});
+  auto effects = reduce(state, Arrived{command(1, "tag:a")});
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<Dropped>(effects[0]).reason, "duplicate");
+  reduce(state, Arrived{command(3, "tag:c")});
+  effects = reduce(state, Arrived{command(3, "tag:other")});
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<Dropped>(effects[0]).reason, "conflict");
+  EXPECT_EQ(state.held.at(3).selector.text, "c");
+}
+
+TEST(PurgeSequencer, ARestartMidPurgeResumesFromTheLastApplied) {
+  SequencerState before;
+  for (Sequence n = 1; n <= 4; ++n) reduce(before, Arrived{command(n, "key:k" + std::to_string(n))});
+  reduce(before, Arrived{command(6, "key:k6")});  // 5 never came before the crash
+  SequencerState after;
+  after.applied = before.applied;  // what a snapshot keeps; held commands are asked again
+  auto effects = reduce(after, FeedUp{});
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<AskFrom>(effects[0]).number, 5U);
+  std::vector<Sequence> applied;
+  for (Sequence n = 1; n <= 7; ++n) {
+    const auto more = applied_numbers(reduce(after, Arrived{command(n, "key:k" + std::to_string(n))}));
+    applied.insert(applied.end(), more.begin(), more.end());
+  }
+  EXPECT_EQ(applied, (std::vector<Sequence>{5, 6, 7}));
+}
+
+TEST(PurgeSequencer, HeldCommandsAreBounded) {
+  SequencerState state;
+  state.most_held = 8;
+  for (Sequence n = 2; n < 40; ++n) reduce(state, Arrived{command(n, "tag:t")});
+  EXPECT_LE(state.held.size(), 8U);
+  const auto effects = reduce(state, Arrived{command(1, "tag:t")});
+  EXPECT_EQ(applied_numbers(effects), (std::vector<Sequence>{1, 2, 3, 4, 5, 6, 7, 8}));
+  EXPECT_EQ(std::get<AskFrom>(effects.back()).number, 9U) << "what was dropped is asked for again";
+}
+
+TEST(PurgeLedger, ACopyFromBeforeAPurgeThatNamesItIsNotServed) {
+  Ledger ledger;
+  ledger.applied(command(1, "tag:class-4", 1000));
+  ledger.applied(command(2, "glob:s2/*", 2000));
+  EXPECT_FALSE(ledger.may_serve("s1/a", {"class-4"}, UnixMs{999}));
+  EXPECT_TRUE(ledger.may_serve("s1/a", {"class-4"}, UnixMs{1000})) << "born with the purge: new enough";
+  EXPECT_TRUE(ledger.may_serve("s1/a", {"class-5"}, UnixMs{10}));
+  EXPECT_FALSE(ledger.may_serve("s2/x", {}, UnixMs{1500}));
+  ledger.forget_before(UnixMs{1500});
+  EXPECT_EQ(ledger.size(), 1U);
+  EXPECT_FALSE(ledger.may_serve("s2/x", {}, UnixMs{1999}));
+}
+
+}  // namespace
+}  // namespace dahliahall::purge
