--- a/tests/purge_test.cpp
+++ b/tests/purge_test.cpp
@@ -10,6 +10,7 @@
 #include "purge/ledger.h"
 #include "purge/selector.h"
 #include "purge/sequencer.h"
+#include "purge/snapshot.h"
 
 namespace dahliahall::purge {
 namespace {
@@ -208,3 +209,49 @@
 
 }  // namespace
 }  // namespace dahliahall::purge
+
+namespace dahliahall::purge {
+namespace {
+
+SequencerState sample_state() {
+  SequencerState state;
+  for (Sequence n : {1, 2, 3, 5, 6})
+    reduce(state, Arrived{command(n, "glob:school/*/proof-?.jpg", 1000 + n)});
+  reduce(state, Arrived{command(8, "prefix:", 1008)});
+  reduce(state, Arrived{command(9, "tag:class-4b", 1009)});
+  return state;
+}
+
+TEST(PurgeSnapshot, ReadsBackWhatWasWritten) {
+  const SequencerState state = sample_state();
+  const auto back = read_snapshot(write_snapshot(state), 1024);
+  ASSERT_TRUE(std::holds_alternative<SequencerState>(back)) << std::get<SnapshotError>(back).message;
+  const auto& read = std::get<SequencerState>(back);
+  EXPECT_EQ(read.applied, 3U);
+  EXPECT_EQ(read.highest_seen, 9U);
+  EXPECT_EQ(read.held, state.held);
+  // Resumed, it asks for the gap and applies what it held once that comes.
+  SequencerState resumed = read;
+  EXPECT_EQ(std::get<AskFrom>(reduce(resumed, FeedUp{}).front()).number, 4U);
+  EXPECT_EQ(applied_numbers(reduce(resumed, Arrived{command(4, "key:k4", 1004)})),
+            (std::vector<Sequence>{4, 5, 6}));
+}
+
+TEST(PurgeSnapshot, ATornOrChangedSnapshotIsRefused) {
+  const std::string text = write_snapshot(sample_state());
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    const auto torn = read_snapshot(text.substr(0, cut), 1024);
+    ASSERT_TRUE(std::holds_alternative<SnapshotError>(torn)) << "cut at " << cut;
+  }
+  for (std::size_t at = 0; at + 18 < text.size(); ++at) {
+    std::string changed = text;
+    changed[at] = changed[at] == '7' ? '8' : '7';
+    ASSERT_TRUE(std::holds_alternative<SnapshotError>(read_snapshot(changed, 1024))) << "changed at " << at;
+  }
+  const auto over = read_snapshot(text, 2);
+  ASSERT_TRUE(std::holds_alternative<SnapshotError>(over));
+  EXPECT_NE(std::get<SnapshotError>(over).message.find("bound of 2"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace dahliahall::purge
