--- a/src/purge/sequencer.cpp
+++ b/src/purge/sequencer.cpp
@@ -37,9 +37,11 @@
     out.emplace_back(Apply{next->second});
     state.applied = next->first;
   }
-  state.asked = false;
-  // Guards against losing what was dropped for the bound: all up to the highest number seen is asked again.
-  if (state.highest_seen > state.applied) {
+  // Guards against losing what was dropped for the bound, and against asking again for each number that a
+  // stream sent on asking brings: one ask is out until the gap up to the highest number seen is closed.
+  if (state.highest_seen <= state.applied) {
+    state.asked = false;
+  } else if (!state.asked) {
     state.asked = true;
     out.emplace_back(AskFrom{state.applied + 1});
   }
