One test of whether a purge names a key, shared by the ledger and the plain scan

Need: the ledger and KeyIndex::match_by_scan each held the same switch over the selector kinds.

Change: purge::names(selector, key, tags) in selector.cpp; both call it. Behaviour unchanged (tags are searched by find, where the scan used binary_search on sorted tags).

--- a/src/purge/key_index.cpp
+++ b/src/purge/key_index.cpp
@@ -51,24 +51,8 @@
 
 std::vector<std::string> KeyIndex::match_by_scan(const Selector& selector) const {
   std::vector<std::string> out;
-  for (const auto& [key, tags] : tags_of_) {
-    bool hit = false;
-    switch (selector.kind) {
-      case SelectorKind::key:
-        hit = key == selector.text;
-        break;
-      case SelectorKind::tag:
-        hit = std::binary_search(tags.begin(), tags.end(), selector.text);
-        break;
-      case SelectorKind::prefix:
-        hit = key.starts_with(selector.text);
-        break;
-      case SelectorKind::glob:
-        hit = glob_matches(selector.text, key);
-        break;
-    }
-    if (hit) out.push_back(key);
-  }
+  for (const auto& [key, tags] : tags_of_)
+    if (names(selector, key, tags)) out.push_back(key);
   std::sort(out.begin(), out.end());
   return out;
 }
--- a/src/purge/ledger.cpp
+++ b/src/purge/ledger.cpp
@@ -4,23 +4,6 @@
 #include <algorithm>
 
 namespace dahliahall::purge {
-namespace {
-
-bool names(const Selector& s, const std::string& key, const std::vector<std::string>& tags) {
-  switch (s.kind) {
-    case SelectorKind::key:
-      return key == s.text;
-    case SelectorKind::tag:
-      return std::find(tags.begin(), tags.end(), s.text) != tags.end();
-    case SelectorKind::prefix:
-      return key.starts_with(s.text);
-    case SelectorKind::glob:
-      return glob_matches(s.text, key);
-  }
-  return false;
-}
-
-}  // namespace
 
 void Ledger::applied(const PurgeCommand& command) { purges_.push_back(command); }
 
--- a/src/purge/selector.cpp
+++ b/src/purge/selector.cpp
@@ -64,6 +64,20 @@
   return g == glob.size();
 }
 
+bool names(const Selector& selector, std::string_view key, const std::vector<std::string>& tags) {
+  switch (selector.kind) {
+    case SelectorKind::key:
+      return key == selector.text;
+    case SelectorKind::tag:
+      return std::find(tags.begin(), tags.end(), selector.text) != tags.end();
+    case SelectorKind::prefix:
+      return key.starts_with(selector.text);
+    case SelectorKind::glob:
+      return glob_matches(selector.text, key);
+  }
+  return false;
+}
+
 std::string_view literal_prefix(std::string_view glob) {
   const auto first = std::find_if(glob.begin(), glob.end(), wildcard);
   return glob.substr(0, static_cast<std::size_t>(first - glob.begin()));
--- a/src/purge/selector.h
+++ b/src/purge/selector.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace dahliahall::purge {
 
@@ -34,6 +35,9 @@
 /// recursion: at most |pattern| * |key| steps.
 bool glob_matches(std::string_view glob, std::string_view key);
 
+/// Whether the selector names a key that carries these tags (in any order).
+bool names(const Selector& selector, std::string_view key, const std::vector<std::string>& tags);
+
 /// The literal bytes a glob starts with, before its first wildcard: every key it matches has them in front.
 std::string_view literal_prefix(std::string_view glob);
 
