--- /dev/null
+++ b/src/edge/operators.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+#include "edge/operators.h"
+
+namespace dahliahall::edge {
+
+codec::Roster Operators::act(const AdminCall& call, Time now) {
+  if (call.word != AdminWord::suspend && call.word != AdminWord::resume) return {};
+  const bool out = call.word == AdminWord::suspend;
+  const auto changed =
+      out ? parts_.membership.suspend(call.member, now) : parts_.membership.resume(call.member, now);
+  known_ = changed.has_value();
+  if (!changed) return {};
+  parts_.context.log(std::string(out ? "suspended" : "resumed") + " member=" + call.member);
+  // A process started later knows.
+  parts_.context.effects.emplace_back(Keep{parts_.membership.kept()});
+  return *changed;
+}
+
+void Operators::answer(ConnectionId connection, const AdminCall& call, bool ready) {
+  Admin& admin = parts_.admin;
+  switch (call.word) {
+    case AdminWord::ready:
+      admin.answer(connection, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+      break;
+    case AdminWord::metrics:
+      admin.answer(connection, 200, metrics());
+      break;
+    case AdminWord::suspend:
+    case AdminWord::resume:
+      admin.answer(connection, known_ ? 200 : 404, known_ ? "done\n" : "no such member\n");
+      break;
+    case AdminWord::unknown:
+      admin.answer(connection, 404, "no such call\n");
+      break;
+    case AdminWord::wrong_method:
+      admin.answer(connection, 405, "not that way\n");
+      break;
+  }
+}
+
+std::string Operators::metrics() const {
+  std::string text;
+  const auto& counted = parts_.requests.counted();
+  const auto tell_of = [&text](const std::string& name, std::size_t value, const char* kind) {
+    text.append("svc.").append(name).append(":").append(std::to_string(value)).append(kind).append("\n");
+  };
+  std::uint64_t written = 0;
+  for (std::size_t c = 0; c < counted.size(); ++c) {
+    const std::string calls = "calls." + parts_.requests.class_name(c) + ".";
+    tell_of(calls + "success", counted[c].served, "|c");
+    tell_of(calls + "busy", counted[c].refused, "|c");
+    tell_of(calls + "failure", counted[c].failed, "|c");
+    written += parts_.pool.written()[c];
+  }
+  tell_of("backend_calls", written, "|c");
+  tell_of("inflight", parts_.requests.open(), "|g");
+  tell_of("hosts_listed", parts_.pool.members(), "|g");
+  tell_of("hosts_down", parts_.pool.not_running() + parts_.router.beliefs().shut, "|g");
+  return text;
+}
+
+}  // namespace dahliahall::edge
--- /dev/null
+++ b/src/edge/operators.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What operators ask for at the second address, carried out and answered.
+#pragma once
+
+#include <string>
+
+#include "edge/admin.h"
+#include "edge/membership.h"
+#include "edge/pool.h"
+#include "edge/requests.h"
+
+namespace dahliahall::edge {
+
+class Operators {
+ public:
+  /// What it reads its answers from, or acts on.
+  struct Parts {
+    Context& context;
+    Admin& admin;
+    Requests& requests;
+    Pool& pool;
+    Router& router;
+    Membership& membership;
+  };
+  explicit Operators(const Parts& parts) : parts_(parts) {}
+
+  /// Does what the call asks for. The members that are to be treated otherwise from now on: to be told to all
+  /// before the call is answered.
+  codec::Roster act(const AdminCall& call, Time now);
+  /// The answer, after act: a yes comes once all is done. `ready`: whether the proxy can serve.
+  void answer(ConnectionId connection, const AdminCall& call, bool ready);
+
+ private:
+  [[nodiscard]] std::string metrics() const;
+
+  Parts parts_;
+  bool known_ = false;  // the member that the last call named
+};
+
+}  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -11,7 +11,9 @@
 #include "edge/copies.h"
 #include "edge/fronts.h"
 #include "edge/membership.h"
+#include "edge/operators.h"
 #include "edge/pool.h"
+#include "edge/requests.h"
 
 namespace dahliahall::edge {
 namespace {
@@ -20,28 +22,7 @@
 
 constexpr Time kSweepEvery = 100ms;
 constexpr Time kTellEvery = 1s;
-// A client counts its patience from when it sent the request, and the answer has a way to go as well.
-constexpr Time kTravel = 10ms;
-constexpr std::size_t kMaxText = 128;     // of an id, a key or a tag
-constexpr std::size_t kMaxSent = 48'000;  // bytes of a write
-constexpr std::uint64_t kMaxPiece = 1'000'000;
 constexpr std::size_t kSameCopyCosts = 20;  // telling that a copy holds costs this part of sending it
-constexpr int kMostDeadlines = 4;  // the sending time of the largest object, in deadlines of its class
-
-/// Whether a client's text can stand in a line to a cache as it is. Guards against a request whose fields
-/// would read there as other fields, or as a command of their own.
-bool plain(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxText && std::all_of(text.begin(), text.end(), [](char c) {
-    return c > ' ' && c < 0x7f && c != ',' && c != '=';
-  });
-}
-
-bool hex16(std::string_view text) {
-  return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-         });
-}
-
 std::string_view name_of(Ending ending) {
   static constexpr std::array<std::string_view, 10> names{"served",      "error",  "shed",      "timed_out",
                                                           "unreachable", "broken", "cancelled", "unsent",
@@ -49,40 +30,6 @@
   return names[static_cast<std::size_t>(ending)];
 }
 
-template <typename Number>
-std::optional<Number> number_of(std::string_view text) {
-  Number value{};
-  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (problem != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
-/// The kinds of final answers.
-enum class Final { served, refused, failed };
-
-/// A request that was taken and not answered yet. Texts are the bytes that the client sent.
-struct Taken {
-  ConnectionId front = 0;
-  CallTag tag = 0;
-  std::string verb, item, piece, key, held_tag, body;
-  Request request;
-  int attempts = 0;
-};
-
-class FieldReader {
- public:
-  explicit FieldReader(const FrontFields& fields) : fields_(fields) {}
-  std::string_view text(std::string_view name) const {
-    for (const auto& [key, value] : fields_) {
-      if (key == name) return value;
-    }
-    return {};
-  }
-
- private:
-  const FrontFields& fields_;
-};
-
 }  // namespace
 
 std::string_view name_of(CloseReason reason) {
@@ -102,10 +49,11 @@
         context_(config),
         admin_(context_),
         fronts_(context_),
+        requests_(context_, fronts_, settings_),
         pool_(context_, config),
         bulletin_(context_, config),
-        copies_(config) {
-    counted_.resize(settings_.classes.size());
+        copies_(config),
+        operators_({context_, admin_, requests_, pool_, router_, membership_}) {
     context_.now = now;
     context_.log("starting name=" + config.name + " listen=" + config.listen +
                  " known=" + std::to_string(config.known_number));
@@ -207,7 +155,7 @@
   void on(const StopAsked&) {
     if (stopping_) return;
     stopping_ = true;
-    context_.log("stopping open=" + std::to_string(taken_.size()));
+    context_.log("stopping open=" + std::to_string(requests_.open()));
     context_.effects.emplace_back(Yield{});
     // Guards against the end of the process with requests unanswered: deadlines differ by site and day.
     Time longest{0};
@@ -241,65 +189,11 @@
     settle();
   }
 
-  // ---- Operators ----
-
   void on_admin(ConnectionId connection, const AdminCall& call) {
-    switch (call.word) {
-      case AdminWord::ready: {
-        const bool ready = listed_ && !stopping_;
-        admin_.answer(connection, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-        break;
-      }
-      case AdminWord::metrics:
-        admin_.answer(connection, 200, metrics());
-        break;
-      case AdminWord::suspend:
-      case AdminWord::resume:
-        by_hand(connection, call);
-        break;
-      case AdminWord::unknown:
-        admin_.answer(connection, 404, "no such call\n");
-        break;
-      case AdminWord::wrong_method:
-        admin_.answer(connection, 405, "not that way\n");
-        break;
-    }
-  }
-
-  /// The yes comes after all is done: from then on nothing new goes there, and a process started later knows.
-  void by_hand(ConnectionId connection, const AdminCall& call) {
-    const bool out = call.word == AdminWord::suspend;
-    const auto changed =
-        out ? membership_.suspend(call.member, context_.now) : membership_.resume(call.member, context_.now);
-    if (!changed) {
-      admin_.answer(connection, 404, "no such member\n");
-      return;
-    }
-    context_.log(std::string(out ? "suspended" : "resumed") + " member=" + call.member);
-    context_.effects.emplace_back(Keep{membership_.kept()});
-    if (!changed->members.empty()) spread(*changed, ListKind::changes);
+    const codec::Roster changed = operators_.act(call, context_.now);
+    if (!changed.members.empty()) spread(changed, ListKind::changes);
     settle();
-    admin_.answer(connection, 200, "done\n");
-  }
-
-  std::string metrics() const {
-    std::string text;
-    const auto tell_of = [&text](const std::string& name, std::size_t value, const char* kind) {
-      text.append("svc.").append(name).append(":").append(std::to_string(value)).append(kind).append("\n");
-    };
-    std::uint64_t written = 0;
-    for (std::size_t c = 0; c < counted_.size(); ++c) {
-      const std::string calls = "calls." + settings_.classes[c].name + ".";
-      tell_of(calls + "success", counted_[c].served, "|c");
-      tell_of(calls + "busy", counted_[c].refused, "|c");
-      tell_of(calls + "failure", counted_[c].failed, "|c");
-      written += pool_.written()[c];
-    }
-    tell_of("backend_calls", written, "|c");
-    tell_of("inflight", taken_.size(), "|g");
-    tell_of("hosts_listed", pool_.members(), "|g");
-    tell_of("hosts_down", pool_.not_running() + router_.beliefs().shut, "|g");
-    return text;
+    operators_.answer(connection, call, listed_ && !stopping_);
   }
 
   // ---- Timers ----
@@ -362,7 +256,7 @@
                    " attempts=" + std::to_string(seen_.attempts) + " served=" + std::to_string(seen_.served) +
                    " own=" + std::to_string(seen_.own) + " refused=" + std::to_string(seen_.refused) +
                    " turned_away=" + std::to_string(seen_.turned_away) +
-                   " failed=" + std::to_string(seen_.failed) + " open=" + std::to_string(taken_.size()) +
+                   " failed=" + std::to_string(seen_.failed) + " open=" + std::to_string(requests_.open()) +
                    " out=" + std::to_string(pool_.out()) + " believed_out=" + std::to_string(believed.out) +
                    " shut=" + std::to_string(believed.shut) + " members=" + std::to_string(pool_.members()) +
                    " kept=" + std::to_string(believed.kept + context_.timers.size() + copies_.held()) +
@@ -390,7 +284,7 @@
   void stop_when_done() {
     if (!ending_idle_ || stopped_) return;
     for (const ConnectionId connection : fronts_.quiet()) end_front(connection, CloseReason::stopping, true);
-    if (listening_ || !fronts_.empty() || !taken_.empty()) return;
+    if (listening_ || !fronts_.empty() || requests_.open() > 0) return;
     stopped_ = true;
     pool_.stop();
     admin_.stop();
@@ -402,7 +296,6 @@
   // ---- Clients ----
 
   void on_call(ConnectionId front, Asked& call) {
-    FrontProtocol& protocol = *fronts_.protocol(front);
     // Guards against two requests under one number: which of them an answer is for could not be told.
     if (fronts_.has_open(front, call.tag)) {
       turn_away(front);
@@ -410,57 +303,36 @@
     }
     // Guards against clients that ask for more than they may or read: these refusals take next to no work.
     if (fronts_.backed_up(front) || !serving_) {
-      turn_back(front, call);
+      ++seen_.turned_away;
+      requests_.turn_back(front, call);
       return;
     }
-    std::string id;
-    std::optional<Taken> taken = read_request(front, call, id);
-    if (!taken || taken_.count(id) != 0) {
+    // Guards what is taken late against the end of the process: it would never be answered.
+    std::optional<Taken> taken =
+        requests_.read(front, call, stopping_ ? std::optional<Time>(stop_by_) : std::nullopt);
+    if (!taken || requests_.find(taken->request.id) != nullptr) {
       ++seen_.turned_away;
-      count(class_of(FieldReader(call.fields).text("verb")), Final::failed);
-      fronts_.answer(front, protocol.failed(call.tag));
+      requests_.turn_away(front, call);
       return;
     }
     // Guards the memory against clients that send more than can be passed on.
-    if (bodies_ + taken->body.size() > context_.bounds.bodies) {
-      turn_back(front, call);
+    if (!requests_.room_for(*taken)) {
+      ++seen_.turned_away;
+      requests_.turn_back(front, call);
       return;
     }
     ++seen_.taken;
-    fronts_.take(front, call.tag, id);
     Request request = taken->request;
     // Guards the rule on purges: without its news a copy may be older than one that counts as told.
     if (!request.write && taken->key.empty() && taken->body.empty() && bulletin_.heard() &&
         copies_.find(key_of(request), context_.now, max_age_of(request)) != nullptr)
       request.own_copy = copies_.wait(context_.now);
-    bodies_ += taken->body.size();
-    taken_.emplace(id, std::move(*taken));
-    context_.timers.add(request.expires, {Due::request_expired, id, 0, 0});
+    requests_.take(std::move(*taken));
+    context_.timers.add(request.expires, {Due::request_expired, request.id, 0, 0});
     tell(request);
     settle();
   }
 
-  /// Refuses without asking the module.
-  void turn_back(ConnectionId front, const Asked& call) {
-    ++seen_.turned_away;
-    count(class_of(FieldReader(call.fields).text("verb")), Final::refused);
-    fronts_.answer(front, fronts_.protocol(front)->refused(call.tag, later(settings_.max_retry_after)));
-  }
-
-  /// The place of a class in the settings; past their end where there is none of that name.
-  std::size_t class_of(std::string_view name) const {
-    const auto& classes = settings_.classes;
-    const auto found =
-        std::find_if(classes.begin(), classes.end(), [&](const RequestClass& c) { return c.name == name; });
-    return static_cast<std::size_t>(found - classes.begin());
-  }
-
-  void count(std::size_t request_class, Final kind) {
-    if (request_class >= counted_.size()) return;
-    Counted& counted = counted_[request_class];
-    ++(kind == Final::served ? counted.served : kind == Final::refused ? counted.refused : counted.failed);
-  }
-
   static Copies::Key key_of(const Request& r) {
     return {static_cast<std::size_t>(r.request_class), r.object, r.part};
   }
@@ -468,53 +340,6 @@
     return settings_.classes[static_cast<std::size_t>(r.request_class)].max_age;
   }
 
-  /// Guards the module's means of work against sizes that no object has.
-  double most_kb(const RequestClass& c) const {
-    const double most = kMostDeadlines * std::chrono::duration<double>(c.deadline).count();
-    return settings_.stream_kb_per_s > 0 ? most * settings_.stream_kb_per_s : 1e9;
-  }
-
-  std::optional<Taken> read_request(ConnectionId front, Asked& call, std::string& id) const {
-    const FieldReader fields(call.fields);
-    Taken taken;
-    taken.front = front;
-    taken.tag = call.tag;
-    taken.verb = fields.text("verb");
-    taken.item = fields.text("item");
-    taken.piece = fields.text("piece");
-    taken.key = fields.text("unique");
-    taken.held_tag = fields.text("ver");
-    id = fields.text("txn");
-    const auto& classes = settings_.classes;
-    const auto known = classes.begin() + static_cast<std::ptrdiff_t>(class_of(taken.verb));
-    const auto limit = number_of<std::int64_t>(fields.text("limit"));
-    const auto piece = number_of<std::uint64_t>(taken.piece.empty() ? "0" : taken.piece);
-    const auto lot = number_of<std::int64_t>(fields.text("lot").empty() ? "0" : fields.text("lot"));
-    const auto kb = number_of<double>(fields.text("ram").empty() ? "0" : fields.text("ram"));
-    const bool good = call.readable && known != classes.end() && hex16(id) && hex16(taken.item) && limit &&
-                      *limit > 0 && std::chrono::milliseconds(*limit) <= kMostDeadlines * known->deadline &&
-                      piece && lot && *lot >= 0 && *lot <= 255 && kb && *kb >= 0 && *kb <= most_kb(*known) &&
-                      *piece <= kMaxPiece && call.body.size() <= kMaxSent &&
-                      (taken.held_tag.empty() || plain(taken.held_tag)) &&
-                      (taken.key.empty() ? known->effect != dahliahall::Effect::keyed : plain(taken.key));
-    if (!good) return std::nullopt;
-    Request& r = taken.request;
-    r.id = id;
-    r.request_class = static_cast<int>(known - classes.begin());
-    std::from_chars(taken.item.data(), taken.item.data() + taken.item.size(), r.object, 16);
-    r.part = *piece;
-    r.group = *lot;
-    r.kb = *kb;
-    const Time patience = std::chrono::milliseconds(*limit);
-    r.expires = context_.now + std::max(patience - kTravel, patience / 2);
-    // Guards what is taken late against the end of the process: it would never be answered.
-    if (stopping_) r.expires = std::min(r.expires, stop_by_);
-    r.write = known->never_kept;
-    r.client_retry = fields.text("second") == "1";
-    taken.body = std::move(call.body);
-    return taken;
-  }
-
   void on_call(ConnectionId front, const GivenUp& call) { withdraw(fronts_.release(front, call.tag)); }
 
   void on_call(ConnectionId front, const ReadinessAsked& call) {
@@ -538,48 +363,21 @@
 
   /// The client waits no longer: no answer is owed.
   void withdraw(const std::string& request) {
-    const auto found = taken_.find(request);
-    if (found == taken_.end()) return;
-    forget(found);
+    if (!requests_.forget(request)) return;
     tell(Withdrawn{request});
     settle();
   }
 
   /// Guards the rule on final answers, should the module not have given one by the time the client leaves.
   void expire(const std::string& request) {
-    const auto found = taken_.find(request);
-    if (found == taken_.end()) return;
-    const int attempts = found->second.attempts;
+    const Taken* taken = requests_.find(request);
+    if (taken == nullptr) return;
+    const int attempts = taken->attempts;
     for (int n = 0; n < attempts; ++n) pool_.timed_out(request, n);
-    answer(request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+    requests_.failed(request);
     tell(Withdrawn{request});
   }
 
-  void forget(std::map<std::string, Taken>::iterator taken) {
-    bodies_ -= taken->second.body.size();
-    taken_.erase(taken);
-  }
-
-  /// Gives a request its final answer, if it is still owed one.
-  template <typename Word>
-  void answer(const std::string& request, Final kind, Word&& word) {
-    const auto found = taken_.find(request);
-    if (found == taken_.end()) return;
-    const ConnectionId front = found->second.front;
-    const CallTag tag = found->second.tag;
-    count(static_cast<std::size_t>(found->second.request.request_class), kind);
-    forget(found);
-    fronts_.release(front, tag);
-    FrontProtocol* protocol = fronts_.protocol(front);
-    if (protocol != nullptr) fronts_.answer(front, word(*protocol, tag));
-  }
-
-  static FrontFields later(Time span) {
-    const auto ms = std::chrono::floor<std::chrono::milliseconds>(span).count();
-    if (ms <= 0) return {};
-    return {{"later", std::to_string(ms)}};
-  }
-
   // ---- The bulletin ----
 
   void apply(const codec::BulletinEvent& event, bool remembered) {
@@ -647,28 +445,22 @@
     // Guards clients against being told that the copy they hold is the one, where they hold none, or against
     // bytes that such an answer can't bring.
     if (ended.ending == Ending::served && ended.answer.word == codec::AnswerWord::valid) {
-      const auto found = taken_.find(ended.request);
-      if (found != taken_.end() && (found->second.held_tag.empty() || !ended.answer.body.empty()))
+      const Taken* taken = requests_.find(ended.request);
+      if (taken != nullptr && (taken->held_tag.empty() || !ended.answer.body.empty()))
         outcome.ending = Ending::spoilt;
     }
     outcome.took = ended.took;
     ++endings_[ended.member][outcome.ending];
     if (outcome.ending != Ending::served) tell_wrong(ended, outcome.ending);
     if (outcome.ending == Ending::served) {
-      if (const auto found = taken_.find(ended.request); found != taken_.end()) {
+      if (const Taken* taken = requests_.find(ended.request)) {
         ++seen_.served;
-        const Request& r = found->second.request;
+        const Request& r = taken->request;
         if (!r.write) copies_.offer(key_of(r), r.group, ended.answer, context_.now);
+        requests_.served(ended.request, ended.answer);
       }
-      answer(ended.request, Final::served, [&ended](FrontProtocol& front, CallTag tag) {
-        FrontFields fields;
-        if (ended.answer.word == codec::AnswerWord::valid) fields.emplace_back("unchanged", "1");
-        if (const auto tagged = codec::field_in(ended.answer.fields, "ver"))
-          fields.emplace_back("ver", *tagged);
-        return front.served(tag, ended.answer.body, fields);
-      });
     }
-    outcome.settled = taken_.count(ended.request) == 0;
+    outcome.settled = requests_.find(ended.request) == nullptr;
     tell(outcome);
   }
 
@@ -691,8 +483,8 @@
     order.decided = context_.now;
     order.until = context_.now;  // unless somebody waits: then it is unsent
     order.oldest = a.oldest;
-    if (const auto found = taken_.find(a.request); found != taken_.end()) {
-      Taken& taken = found->second;
+    if (Taken* found = requests_.find(a.request)) {
+      Taken& taken = *found;
       order.number = taken.attempts++;
       order.request_class = static_cast<std::size_t>(taken.request.request_class);
       order.object = taken.request.object;
@@ -725,29 +517,22 @@
   void perform(const Cancel& c) { pool_.cancel(c.request, c.attempt); }
   void perform(const Refuse& r) {
     ++seen_.refused;
-    answer(r.request, Final::refused, [&](FrontProtocol& front, CallTag tag) {
-      return front.refused(tag, later(std::min(r.retry_after, settings_.max_retry_after)));
-    });
+    requests_.refused(r.request, r.retry_after);
   }
   void perform(const Fail& f) {
     ++seen_.failed;
-    answer(f.request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
+    requests_.failed(f.request);
   }
   void perform(const ServeOwn& own) {
-    const auto found = taken_.find(own.request);
-    if (found == taken_.end()) return;
-    const Taken& taken = found->second;
-    const Copies::Copy* copy = copies_.find(key_of(taken.request), context_.now, max_age_of(taken.request));
+    const Taken* taken = requests_.find(own.request);
+    if (taken == nullptr) return;
+    const Copies::Copy* copy = copies_.find(key_of(taken->request), context_.now, max_age_of(taken->request));
     if (copy == nullptr) return;
     // Telling a client that the copy it holds is the one takes little of the link.
-    const bool same = !taken.held_tag.empty() && taken.held_tag == copy->tag;
+    const bool same = !taken->held_tag.empty() && taken->held_tag == copy->tag;
     copies_.sent(same ? copy->body.size() / kSameCopyCosts : copy->body.size(), context_.now);
     ++seen_.own;
-    answer(own.request, Final::served, [copy, same](FrontProtocol& front, CallTag tag) {
-      FrontFields fields{{"ver", copy->tag}};
-      if (same) fields.emplace_back("unchanged", "1");
-      return front.served(tag, same ? std::string_view() : std::string_view(copy->body), fields);
-    });
+    requests_.served(own.request, same ? std::string_view() : std::string_view(copy->body), copy->tag, same);
   }
   void perform(const Wake& w) {
     context_.timers.add(context_.now + w.after, {Due::module_wake, std::to_string(w.token), 0, 0});
@@ -763,16 +548,12 @@
   Context context_;
   Admin admin_;
   Fronts fronts_;
+  Requests requests_;
   Membership membership_;
   Pool pool_;
   BulletinLink bulletin_;
   Copies copies_;
-  std::map<std::string, Taken> taken_;
-  std::size_t bodies_ = 0;  // bytes of their bodies
-  struct Counted {
-    std::size_t served = 0, refused = 0, failed = 0;
-  };
-  std::vector<Counted> counted_;  // final answers since the start, by class
+  Operators operators_;
   struct Seen {
     int taken = 0, attempts = 0, served = 0, own = 0, refused = 0, turned_away = 0, failed = 0;
     bool operator==(const Seen&) const = default;
