--- a/src/codec/http_call.cpp
+++ b/src/codec/http_call.cpp
@@ -38,6 +38,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     default:
       return "Service Unavailable";
   }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -115,6 +115,8 @@
     if (*value < 0) root.fail(key, "should be 0 or more");
   }
   read_own_settings(config, root.object("settings"));
+  if (root.find("peers") != nullptr)
+    config.peers = read_peers(root.object("peers"), config.name, config.settings.zone, config.max_sockets);
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> writer(text);
   root.need("settings").Accept(writer);
@@ -135,6 +137,7 @@
   if (running.admin != read.admin) keys.emplace_back("admin_addr");
   if (running.flow_bytes_per_s != read.flow_bytes_per_s) keys.emplace_back("flow_bytes_per_s");
   if (running.link_bytes_per_s != read.link_bytes_per_s) keys.emplace_back("link_bytes_per_s");
+  if (running.peers != read.peers) keys.emplace_back("peers");
   if (running.settings_text != read.settings_text) keys.emplace_back("settings");
   return keys;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "codec/bulletin.h"
+#include "config/peers_config.h"
 
 namespace dahliahall::config {
 
@@ -29,6 +31,7 @@
   double link_bytes_per_s = 0;  ///< of all of them
   std::int64_t known_number = 0;
   std::vector<codec::BulletinEvent> known;
+  std::optional<Peers> peers;  ///< none: it knows of no other edge proxy
   std::string settings_text;  ///< the settings as JSON, to tell whether another file has others
 };
 
--- /dev/null
+++ b/src/config/peers_config.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: MIT
+#include "config/peers_config.h"
+
+#include <algorithm>
+
+#include "peers/wire.h"
+
+namespace dahliahall::config {
+namespace {
+
+constexpr int kLeastDatagram = 512;
+constexpr int kMostDatagram = 8192;
+constexpr int kMostMembers = 4096;
+constexpr Time kMostSpan = std::chrono::hours(1);
+
+std::string address(const Fields& fields, const char* name, const std::string& value) {
+  if (!peers::good_address(value))
+    fields.fail(name, "should be an IPv4 address and a port, not '" + value + "'");
+  return value;
+}
+
+int within(const Fields& fields, const char* name, int absent, int least, int most) {
+  const int value = fields.small(name, absent);
+  if (value < least || value > most)
+    fields.fail(name, "should be " + std::to_string(least) + " to " + std::to_string(most));
+  return value;
+}
+
+Time span(const Fields& fields, const char* name, Time absent) {
+  const Time value = fields.time(name, absent);
+  if (value < std::chrono::milliseconds(1) || value > kMostSpan)
+    fields.fail(name, "should be 1000 to 3600000000 microseconds");
+  return value;
+}
+
+}  // namespace
+
+Peers read_peers(const Fields& section, const std::string& name, int zone, int sockets) {
+  Peers peers;
+  peers::Settings& s = peers.settings;
+  s.cluster = section.text("cluster");
+  if (!peers::good_name(s.cluster))
+    section.fail("cluster", "should be 1 to 64 of letters, digits, '-', '_', '.'");
+  s.name = name;
+  if (!peers::good_name(name))
+    section.fail("", "the proxy's name should be 1 to 64 of letters, digits, '-', '_', '.'");
+  s.zone = zone;
+  peers.listen = address(section, "listen", section.text("listen"));
+  s.address = address(section, "address", section.text("address", peers.listen.c_str()));
+  peers.folder = section.text("folder");
+  if (peers.folder.empty()) section.fail("folder", "should name a folder");
+  if (section.find("seeds") != nullptr) {
+    const Json& seeds = section.need("seeds");
+    if (!seeds.IsArray()) section.fail("seeds", "should be a list");
+    for (const auto& seed : seeds.GetArray()) {
+      if (!seed.IsString()) section.fail("seeds", "should hold strings");
+      s.seeds.push_back(address(section, "seeds", {seed.GetString(), seed.GetStringLength()}));
+    }
+  }
+  if (section.find("routes") != nullptr) {
+    const Json& routes = section.need("routes");
+    if (!routes.IsObject()) section.fail("routes", "should be an object");
+    for (const auto& route : routes.GetObject()) {
+      if (!route.value.IsString()) section.fail("routes", "should hold strings");
+      s.book[address(section, "routes", {route.name.GetString(), route.name.GetStringLength()})] =
+          address(section, "routes", {route.value.GetString(), route.value.GetStringLength()});
+    }
+  }
+  s.max_members = static_cast<std::size_t>(
+      within(section, "max_members", static_cast<int>(s.max_members), 2, kMostMembers));
+  s.datagram = static_cast<std::size_t>(
+      within(section, "datagram", static_cast<int>(s.datagram), kLeastDatagram, kMostDatagram));
+  s.probe_every = span(section, "probe_every", s.probe_every);
+  s.probe_timeout = span(section, "probe_timeout", s.probe_timeout);
+  // Guards against asking others when the probe is over already.
+  if (s.probe_timeout * 2 > s.probe_every)
+    section.fail("probe_timeout", "should be half of probe_every at most");
+  s.suspicion_least = span(section, "suspicion_least", s.suspicion_least);
+  s.exchange_every = span(section, "exchange_every", s.exchange_every);
+  s.seek_every = span(section, "seek_every", s.seek_every);
+  peers.streams = within(section, "streams", std::min(peers.streams, sockets / 8), 1, sockets / 8);
+  peers.datagrams = within(section, "datagrams_per_s", peers.datagrams, 100, 1'000'000);
+  return peers;
+}
+
+}  // namespace dahliahall::config
--- /dev/null
+++ b/src/config/peers_config.h
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The section `peers` of the configuration: membership among edge proxies. Without it there is none.
+#pragma once
+
+#include <string>
+
+#include "fields.h"
+#include "peers/settings.h"
+
+namespace dahliahall::config {
+
+struct Peers {
+  peers::Settings settings;
+  std::string listen;    ///< host:port, of datagrams and streams alike
+  std::string folder;    ///< on the disk whose mark names this member; there has to be one
+  int streams = 16;      ///< whole exchanges open at once
+  int datagrams = 4000;  ///< read in a second; more are thrown away unread
+  bool operator==(const Peers&) const = default;
+};
+
+/// Reads and checks the section. `name` and `zone`: the proxy's own; `sockets`: descriptors it may hold.
+/// Throws FieldError, which names the key.
+Peers read_peers(const Fields& section, const std::string& name, int zone, int sockets);
+
+}  // namespace dahliahall::config
--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::string_view kMembers = "/v1/pop-caches/";
+constexpr std::string_view kPeers = "/v1/peers/";
 
 }  // namespace
 
@@ -12,17 +13,25 @@
   const auto word = [&call](std::string_view method, AdminWord meant) {
     return call.method == method ? meant : AdminWord::wrong_method;
   };
-  std::string_view path = call.path;
+  const std::string_view path = call.path;
   if (path == "/v1/readyz") return {word("GET", AdminWord::ready), {}};
   if (path == "/v1/metrics") return {word("GET", AdminWord::metrics), {}};
-  if (path.substr(0, kMembers.size()) != kMembers) return {};
-  path.remove_prefix(kMembers.size());
-  const std::size_t slash = path.rfind('/');
-  if (slash == std::string_view::npos || slash == 0) return {};
-  const std::string member(path.substr(0, slash));
-  path.remove_prefix(slash + 1);
-  if (path == "suspend") return {word("POST", AdminWord::suspend), member};
-  if (path == "resume") return {word("POST", AdminWord::resume), member};
+  if (path == "/v1/peers") return {word("GET", AdminWord::peers), {}};
+  // A member's name and what is done to it, where the path begins with `front`.
+  const auto named =
+      [&path](std::string_view front) -> std::optional<std::pair<std::string, std::string_view>> {
+    if (!path.starts_with(front)) return std::nullopt;
+    const std::string_view rest = path.substr(front.size());
+    const std::size_t slash = rest.rfind('/');
+    if (slash == std::string_view::npos || slash == 0) return std::nullopt;
+    return std::pair{std::string(rest.substr(0, slash)), rest.substr(slash + 1)};
+  };
+  if (const auto cache = named(kMembers)) {
+    if (cache->second == "suspend") return {word("POST", AdminWord::suspend), cache->first};
+    if (cache->second == "resume") return {word("POST", AdminWord::resume), cache->first};
+  }
+  if (const auto peer = named(kPeers); peer && peer->second == "forget")
+    return {word("POST", AdminWord::forget), peer->first};
   return {};
 }
 
--- a/src/edge/admin.h
+++ b/src/edge/admin.h
@@ -16,10 +16,10 @@
 namespace dahliahall::edge {
 
 /// What operators can ask for.
-enum class AdminWord { ready, metrics, suspend, resume, unknown, wrong_method };
+enum class AdminWord { ready, metrics, suspend, resume, peers, forget, unknown, wrong_method };
 struct AdminCall {
   AdminWord word = AdminWord::unknown;
-  std::string member;  ///< of suspend and resume
+  std::string member;  ///< of suspend, resume and forget
 };
 AdminCall read_admin_call(const codec::HttpCall& call);
 
--- a/src/edge/operators.cpp
+++ b/src/edge/operators.cpp
@@ -29,6 +29,22 @@
     case AdminWord::resume:
       admin.answer(connection, known_ ? 200 : 404, known_ ? "done\n" : "no such member\n");
       break;
+    case AdminWord::peers: {
+      const auto report = parts_.peering.report();
+      admin.answer(connection, report ? 200 : 404, report ? *report : "no peers\n");
+      break;
+    }
+    case AdminWord::forget: {
+      const Peering::Forgot forgot = parts_.peering.forget(call.member);
+      admin.answer(connection,
+                   forgot == Peering::Forgot::done      ? 200
+                   : forgot == Peering::Forgot::unknown ? 404
+                                                        : 409,
+                   forgot == Peering::Forgot::done      ? "done\n"
+                   : forgot == Peering::Forgot::unknown ? "no such member\n"
+                                                        : "it is not dead: stop it first\n");
+      break;
+    }
     case AdminWord::unknown:
       admin.answer(connection, 404, "no such call\n");
       break;
@@ -56,7 +72,7 @@
   tell_of("inflight", parts_.requests.open(), "|g");
   tell_of("hosts_listed", parts_.pool.members(), "|g");
   tell_of("hosts_down", parts_.pool.not_running() + parts_.router.beliefs().shut, "|g");
-  return text;
+  return text + parts_.peering.figures();
 }
 
 }  // namespace dahliahall::edge
--- a/src/edge/operators.h
+++ b/src/edge/operators.h
@@ -7,6 +7,7 @@
 
 #include "edge/admin.h"
 #include "edge/membership.h"
+#include "edge/peering.h"
 #include "edge/pool.h"
 #include "edge/requests.h"
 
@@ -22,6 +23,7 @@
     Pool& pool;
     Router& router;
     Membership& membership;
+    Peering& peering;
   };
   explicit Operators(const Parts& parts) : parts_(parts) {}
 
--- /dev/null
+++ b/src/edge/peering.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: MIT
+#include "edge/peering.h"
+
+#include "peers/report.h"
+
+namespace dahliahall::edge {
+
+Peering::Peering(Context& context, const config::Config& config) : context_(context), seed_(config.seed) {
+  if (config.peers) settings_ = config.peers->settings;
+}
+
+void Peering::ready(const peers::Identity& identity) {
+  if (!settings_ || state_) return;
+  // Each start draws otherwise, and so does each disk: guards against proxies of one seed that probe in step.
+  state_.emplace(*settings_, identity, seed_ ^ identity.disk ^ identity.incarnation, context_.now);
+  context_.log(
+      "peers ready name=" + settings_->name + " address=" + settings_->address +
+      " disk=" + std::to_string(identity.disk) + " incarnation=" + std::to_string(identity.incarnation) +
+      " new_disk=" + (identity.empty_disk ? "1" : "0") + " known=" + std::to_string(identity.known.size()));
+  take(peers::Due{});
+}
+
+void Peering::take(const peers::Input& input) {
+  if (!state_) return;
+  const peers::Standing before = state_->view().standing();
+  for (peers::Effect& effect : state_->take(context_.now, input))
+    std::visit([this](auto& e) { pass_on(e); }, effect);
+  const peers::View& view = state_->view();
+  if (view.standing() != before)
+    context_.log("peers stands=" + std::string(name_of(view.standing())) +
+                 " before=" + std::string(name_of(before)) + " reached=" + std::to_string(view.reached()) +
+                 " registered=" + std::to_string(view.registered()));
+  if (std::exchange(keep_, false)) context_.effects.emplace_back(PeersKeep{state_->self(), state_->kept()});
+}
+
+void Peering::run_due() {
+  if (state_ && state_->next_due() <= context_.now) take(peers::Due{});
+}
+
+std::optional<Time> Peering::next_due() const {
+  if (!state_ || state_->next_due() == Time::max()) return std::nullopt;
+  return state_->next_due();
+}
+
+void Peering::stop() {
+  if (!settings_) return;
+  take(peers::StopAsked{});
+  context_.effects.emplace_back(PeersStop{});
+}
+
+std::optional<std::string> Peering::report() const {
+  if (!state_) return std::nullopt;
+  return peers::report(*state_, context_.now);
+}
+
+std::string Peering::figures() const {
+  std::string text;
+  if (!state_) return text;
+  for (const peers::Figure& figure : peers::figures(*state_, context_.now))
+    text +=
+        "svc.peers." + figure.name + ":" + std::to_string(figure.value) + (figure.count ? "|c\n" : "|g\n");
+  return text;
+}
+
+Peering::Forgot Peering::forget(const std::string& name) {
+  const peers::Member* member = state_ ? state_->view().find(name) : nullptr;
+  if (member == nullptr) return Forgot::unknown;
+  if (member->news.state == peers::Liveness::forgotten || member->news.state == peers::Liveness::left)
+    return Forgot::done;
+  if (member->news.state != peers::Liveness::dead) return Forgot::reached;
+  take(peers::Forget{name});
+  return Forgot::done;
+}
+
+}  // namespace dahliahall::edge
--- /dev/null
+++ b/src/edge/peering.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The peers' reducer inside the edge's: its effects among the edge's, its timers among the edge's, what
+/// operators ask of it. Without the section `peers` it holds nothing and does nothing.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "edge/context.h"
+#include "peers/reducer.h"
+
+namespace dahliahall::edge {
+
+class Peering {
+ public:
+  Peering(Context& context, const config::Config& config);
+
+  void ready(const peers::Identity& identity);
+  void take(const peers::Input& input);
+  void run_due();
+  [[nodiscard]] std::optional<Time> next_due() const;
+  void stop();
+
+  /// JSON for operators; none where there are no peers, or not yet.
+  [[nodiscard]] std::optional<std::string> report() const;
+  /// As the edge's own figures are written; empty where there are no peers.
+  [[nodiscard]] std::string figures() const;
+  enum class Forgot { done, unknown, reached };
+  Forgot forget(const std::string& name);
+
+ private:
+  void pass_on(peers::Send& e) { context_.effects.emplace_back(PeersEffect{std::move(e)}); }
+  void pass_on(peers::Exchange& e) { context_.effects.emplace_back(PeersEffect{std::move(e)}); }
+  void pass_on(peers::Answer& e) { context_.effects.emplace_back(PeersEffect{std::move(e)}); }
+  void pass_on(peers::Log& e) { context_.log(std::move(e.line)); }
+  void pass_on(peers::Keep&) { keep_ = true; }
+
+  Context& context_;
+  std::optional<peers::Settings> settings_;
+  std::uint64_t seed_;
+  std::optional<peers::State> state_;
+  bool keep_ = false;
+};
+
+}  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -12,6 +12,7 @@
 #include "edge/fronts.h"
 #include "edge/membership.h"
 #include "edge/operators.h"
+#include "edge/peering.h"
 #include "edge/pool.h"
 #include "edge/requests.h"
 
@@ -53,7 +54,8 @@
         pool_(context_, config),
         bulletin_(context_, config),
         copies_(config),
-        operators_({context_, admin_, requests_, pool_, router_, membership_}) {
+        peering_(context_, config),
+        operators_({context_, admin_, requests_, pool_, router_, membership_, peering_}) {
     context_.now = now;
     context_.log("starting name=" + config.name + " listen=" + config.listen +
                  " known=" + std::to_string(config.known_number));
@@ -82,6 +84,7 @@
     }
     std::visit([this](const auto& in) { on(in); }, input);
     run_timers();
+    peering_.run_due();
     settle();
     stop_when_done();
     arm();
@@ -157,6 +160,7 @@
     stopping_ = true;
     context_.log("stopping open=" + std::to_string(requests_.open()));
     context_.effects.emplace_back(Yield{});
+    peering_.stop();
     // Guards against the end of the process with requests unanswered: deadlines differ by site and day.
     Time longest{0};
     for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
@@ -189,6 +193,9 @@
     settle();
   }
 
+  void on(const PeersReady& in) { peering_.ready(in.identity); }
+  void on(const PeersInput& in) { peering_.take(in.input); }
+
   void on_admin(ConnectionId connection, const AdminCall& call) {
     const codec::Roster changed = operators_.act(call, context_.now);
     if (!changed.members.empty()) spread(changed, ListKind::changes);
@@ -274,7 +281,8 @@
   }
 
   void arm() {
-    const auto due = context_.timers.next_due();
+    auto due = context_.timers.next_due();
+    if (const auto peers = peering_.next_due(); peers && (!due || *peers < *due)) due = peers;
     if (!due || armed_ == *due) return;
     armed_ = *due;
     context_.effects.push_back(ArmTimer{*due});
@@ -553,6 +561,7 @@
   Pool pool_;
   BulletinLink bulletin_;
   Copies copies_;
+  Peering peering_;
   Operators operators_;
   struct Seen {
     int taken = 0, attempts = 0, served = 0, own = 0, refused = 0, turned_away = 0, failed = 0;
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "peers/reducer.h"
 
 namespace dahliahall::edge {
 
@@ -86,8 +87,16 @@
 struct KeptRead {
   std::string text;
 };
+/// The peers' sockets are bound, and who this process is among them is on its disk.
+struct PeersReady {
+  peers::Identity identity;
+};
+/// What came there.
+struct PeersInput {
+  peers::Input input;
+};
 using Input = std::variant<Accepted, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed, TimerDue,
-                           StopAsked, Reloaded, ReloadFailed, KeptRead>;
+                           StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput>;
 
 // ---- Effects, to be carried out in order ----
 
@@ -122,7 +131,19 @@
 struct Keep {
   std::string text;
 };
-using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep>;
+/// To be sent by the peers' sockets.
+struct PeersEffect {
+  std::variant<peers::Send, peers::Exchange, peers::Answer> effect;
+};
+/// Who this process is, and the members it knows, for the next one; the newest counts.
+struct PeersKeep {
+  peers::News self;
+  std::vector<peers::News> members;
+};
+/// The peers' sockets close.
+struct PeersStop {};
+using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep, PeersEffect, PeersKeep,
+                            PeersStop>;
 
 /// The state of an edge proxy.
 class State {
--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// Addresses as configuration writes them.
+#pragma once
+
+#include <cstdlib>
+#include <string>
+
+#include "net/glib_ptr.h"
+
+namespace dahliahall::net {
+
+/// Of `host:port`; none where the host is no address.
+inline ObjectPtr<GSocketAddress> address_of(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  const std::string host = text.substr(0, colon);
+  const auto port = static_cast<guint>(std::strtoul(text.c_str() + colon + 1, nullptr, 10));
+  return ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(host.c_str(), port));
+}
+
+}  // namespace dahliahall::net
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,285 @@
+// SPDX-License-Identifier: MIT
+#include "net/peer_link.h"
+
+#include <array>
+#include <chrono>
+
+#include "net/address.h"
+#include "peers/wire.h"
+
+namespace dahliahall::net {
+namespace {
+
+constexpr int kDatagramsAtOnce = 32;  // before the other sockets have their turn
+constexpr guint kTryEveryMs = 100;    // to start, while another process still has the folder or the address
+constexpr guint kStreamWithinMs = 3000;
+constexpr std::size_t kBytesOfMember = 320;  // in a whole exchange, at most
+constexpr std::size_t kReadAtOnce = 64 * 1024;
+
+std::string text_of(GSocketAddress* address) {
+  if (address == nullptr || !G_IS_INET_SOCKET_ADDRESS(address)) return "unknown";
+  auto* inet = G_INET_SOCKET_ADDRESS(address);
+  gchar* host = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  std::string text = std::string(host) + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+  g_free(host);
+  return text;
+}
+
+template <auto Call, typename Object>
+Source watch_socket(GSocket* socket, GIOCondition condition, Object* object) {
+  Source source(g_socket_create_source(socket, condition, nullptr));
+  const GSocketSourceFunc dispatch = [](GSocket*, GIOCondition, gpointer data) -> gboolean {
+    return Call(static_cast<Object*>(data));
+  };
+  g_source_set_callback(source.get(), reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(dispatch)),
+                        object, nullptr);
+  g_source_attach(source.get(), nullptr);
+  return source;
+}
+
+template <auto Call, typename Object>
+Source watch_time(guint ms, Object* object) {
+  Source source(g_timeout_source_new(ms));
+  g_source_set_callback(
+      source.get(), [](gpointer data) -> gboolean { return Call(static_cast<Object*>(data)); }, object,
+      nullptr);
+  g_source_attach(source.get(), nullptr);
+  return source;
+}
+
+}  // namespace
+
+struct PeerLink::Stream {
+  std::uint64_t id = 0;
+  PeerLink* link = nullptr;
+  ObjectPtr<GSocket> socket;
+  std::string from;
+  Source source, timeout;
+  bool asked_here = false;
+  bool connecting = false;
+  bool writing = false;
+  std::string in, out;
+  std::size_t sent = 0;
+};
+
+PeerLink::PeerLink(const config::Peers& config, Told told)
+    : config_(config),
+      told_(std::move(told)),
+      store_(config.folder, config.settings.name, config.settings.cluster, told_.log) {
+  starting_ = watch_time<[](PeerLink* link) -> gboolean {
+    link->try_to_start();
+    return link->datagrams_ ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+  }>(kTryEveryMs, this);
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::try_to_start() {
+  std::string why;
+  std::optional<peers::Identity> identity;
+  if (store_.lock(why) && bind(why)) {
+    const peers::Settings& s = config_.settings;
+    identity = store_.open({s.name, s.address, 0, 0, s.zone, peers::Liveness::alive, {}}, why);
+  }
+  if (!identity) {
+    datagrams_.reset();
+    listener_.reset();
+    if (why != waits_for_) told_.log("peers wait: " + why);
+    waits_for_ = why;
+    return;
+  }
+  reading_ = watch_socket<[](PeerLink* link) -> gboolean {
+    link->read_datagrams();
+    return G_SOURCE_CONTINUE;
+  }>(datagrams_.get(), G_IO_IN, this);
+  accepting_ = watch_socket<[](PeerLink* link) -> gboolean {
+    link->accept();
+    return G_SOURCE_CONTINUE;
+  }>(listener_.get(), G_IO_IN, this);
+  told_.ready(std::move(*identity));
+}
+
+bool PeerLink::bind(std::string& why) {
+  const auto where = address_of(config_.listen);
+  Error error;
+  const auto open = [&](GSocketType type, GSocketProtocol protocol) {
+    ObjectPtr<GSocket> socket(
+        where ? g_socket_new(g_socket_address_get_family(where.get()), type, protocol, error.out())
+              : nullptr);
+    if (!socket) return socket;
+    g_socket_set_blocking(socket.get(), FALSE);
+    // Streams may follow at an address at which old ones fade; two that bind at once are refused all the
+    // same.
+    if (!g_socket_bind(socket.get(), where.get(), type == G_SOCKET_TYPE_STREAM, error.out())) socket.reset();
+    return socket;
+  };
+  datagrams_ = open(G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP);
+  if (datagrams_) listener_ = open(G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+  if (datagrams_ && listener_ && g_socket_listen(listener_.get(), error.out())) return true;
+  why = "can't listen on " + config_.listen + ": " + error.text();
+  return false;
+}
+
+// ---- Datagrams ----
+
+void PeerLink::read_datagrams() {
+  std::array<char, 16 * 1024> buffer;
+  for (int i = 0; i < kDatagramsAtOnce && datagrams_; ++i) {
+    GSocketAddress* sender = nullptr;
+    // One byte more than is allowed tells one that is too large.
+    const std::size_t room = std::min(buffer.size(), config_.settings.datagram + 1);
+    const gssize size =
+        g_socket_receive_from(datagrams_.get(), &sender, buffer.data(), room, nullptr, nullptr);
+    const ObjectPtr<GSocketAddress> from(sender);
+    if (size < 0) return;
+    const std::int64_t second = g_get_monotonic_time() / 1'000'000;
+    if (second != std::exchange(second_, second)) read_in_second_ = 0;
+    // Guards the clients against a flood: what comes beyond the bound costs no more than its reading.
+    if (++read_in_second_ > config_.datagrams) {
+      if (read_in_second_ == config_.datagrams + 1)
+        told_.log("peers flooded from=" + text_of(from.get()) + " more than " +
+                  std::to_string(config_.datagrams) + " a second");
+      continue;
+    }
+    hear({buffer.data(), static_cast<std::size_t>(size)}, config_.settings.datagram, text_of(from.get()), 0);
+  }
+}
+
+void PeerLink::hear(std::string_view bytes, std::size_t most, const std::string& from, std::uint64_t stream) {
+  auto decoded = peers::decode(bytes, config_.settings.cluster, most);
+  if (const auto* reason = std::get_if<peers::Refusal>(&decoded)) {
+    told_.input(peers::Refused{*reason, from});
+    return;
+  }
+  told_.input(peers::Heard{std::move(std::get<peers::Message>(decoded)), stream});
+}
+
+void PeerLink::perform(const peers::Send& send) {
+  const auto where = address_of(send.address);
+  if (!datagrams_ || !where) return;
+  const std::string bytes = peers::encode(send.message, config_.settings.cluster);
+  // One that the system does not take is as good as lost on the way.
+  g_socket_send_to(datagrams_.get(), where.get(), bytes.data(), bytes.size(), nullptr, nullptr);
+}
+
+// ---- Streams ----
+
+void PeerLink::accept() {
+  const ObjectPtr<GSocket> none;
+  while (listener_) {
+    ObjectPtr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, nullptr));
+    if (!socket) return;
+    // Guards the descriptors that clients and caches need: who comes beyond the bound asks again later.
+    if (streams_.size() >= static_cast<std::size_t>(config_.streams)) continue;
+    const ObjectPtr<GSocketAddress> from(g_socket_get_remote_address(socket.get(), nullptr));
+    adopt(std::move(socket), false).from = text_of(from.get());
+  }
+}
+
+void PeerLink::perform(const peers::Exchange& exchange) {
+  const auto where = address_of(exchange.address);
+  if (!datagrams_ || !where || streams_.size() >= static_cast<std::size_t>(config_.streams)) return;
+  ObjectPtr<GSocket> socket(
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+  if (!socket) return;
+  g_socket_set_blocking(socket.get(), FALSE);
+  Error error;
+  if (!g_socket_connect(socket.get(), where.get(), nullptr, error.out()) && !error.is(G_IO_ERROR_PENDING))
+    return;
+  Stream& stream = adopt(std::move(socket), true);
+  stream.from = exchange.address;
+  stream.out = peers::encode(exchange.message, config_.settings.cluster);
+  watch(stream);
+}
+
+void PeerLink::perform(const peers::Answer& answer) {
+  const auto found = streams_.find(answer.stream);
+  if (found == streams_.end()) return;
+  Stream& stream = *found->second;
+  stream.out = peers::encode(answer.message, config_.settings.cluster);
+  stream.writing = true;
+  watch(stream);
+}
+
+PeerLink::Stream& PeerLink::adopt(ObjectPtr<GSocket> socket, bool asked_here) {
+  g_socket_set_blocking(socket.get(), FALSE);
+  auto stream = std::make_unique<Stream>();
+  stream->id = ++last_stream_;
+  stream->link = this;
+  stream->socket = std::move(socket);
+  stream->asked_here = stream->connecting = stream->writing = asked_here;
+  // Guards the bound on streams against those that say nothing.
+  stream->timeout = watch_time<[](Stream* late) -> gboolean {
+    late->link->end(late->id);
+    return G_SOURCE_REMOVE;
+  }>(kStreamWithinMs, stream.get());
+  Stream& adopted = *stream;
+  streams_[adopted.id] = std::move(stream);
+  if (!asked_here) watch(adopted);
+  return adopted;
+}
+
+void PeerLink::watch(Stream& stream) {
+  stream.source = watch_socket<[](Stream* s) -> gboolean {
+    PeerLink* link = s->link;
+    const std::uint64_t id = s->id;
+    if (!link->ready(*s)) link->end(id);
+    return G_SOURCE_CONTINUE;
+  }>(stream.socket.get(), stream.writing ? G_IO_OUT : G_IO_IN, &stream);
+}
+
+/// False: the stream is over.
+bool PeerLink::ready(Stream& stream) {
+  Error error;
+  if (std::exchange(stream.connecting, false) &&
+      !g_socket_check_connect_result(stream.socket.get(), error.out()))
+    return false;
+  if (stream.writing) {
+    while (stream.sent < stream.out.size()) {
+      const gssize size = g_socket_send(stream.socket.get(), stream.out.data() + stream.sent,
+                                        stream.out.size() - stream.sent, nullptr, error.out());
+      if (size < 0) return error.is(G_IO_ERROR_WOULD_BLOCK);
+      stream.sent += static_cast<std::size_t>(size);
+    }
+    g_socket_shutdown(stream.socket.get(), FALSE, TRUE, nullptr);
+    if (!stream.asked_here) return false;
+    stream.writing = false;
+    watch(stream);
+    return true;
+  }
+  const std::size_t most = (2 * config_.settings.max_members + 2) * kBytesOfMember;
+  std::array<char, kReadAtOnce> buffer;
+  while (true) {
+    const gssize size =
+        g_socket_receive(stream.socket.get(), buffer.data(), buffer.size(), nullptr, error.out());
+    if (size < 0) return error.is(G_IO_ERROR_WOULD_BLOCK);
+    if (size == 0) break;
+    stream.in.append(buffer.data(), static_cast<std::size_t>(size));
+    if (stream.in.size() > most) break;
+  }
+  const std::uint64_t id = stream.id;
+  const bool asked_here = stream.asked_here;
+  stream.source.reset();
+  const std::string bytes = std::move(stream.in);
+  hear(bytes, most, stream.from, asked_here ? 0 : id);
+  // An answer that is owed is being written now.
+  const auto found = streams_.find(id);
+  return found != streams_.end() && !asked_here && found->second->writing;
+}
+
+void PeerLink::end(std::uint64_t stream) { streams_.erase(stream); }
+
+void PeerLink::keep(const peers::News& self, std::vector<peers::News> members) {
+  store_.keep(self, std::move(members));
+}
+
+void PeerLink::stop() {
+  starting_.reset();
+  reading_.reset();
+  accepting_.reset();
+  streams_.clear();
+  datagrams_.reset();
+  listener_.reset();
+}
+
+}  // namespace dahliahall::net
--- /dev/null
+++ b/src/net/peer_link.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// The peers' sockets: datagrams for probes and gossip, one stream for each whole exchange. Bytes in both
+/// ways are messages of peers/wire.h; a stream carries one message each way, ended by the end of the stream.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "config/peers_config.h"
+#include "net/glib_ptr.h"
+#include "net/peer_store.h"
+#include "peers/reducer.h"
+
+namespace dahliahall::net {
+
+class PeerLink {
+ public:
+  struct Told {
+    std::function<void(peers::Identity)> ready;  ///< it is bound and its identity is on the disk
+    std::function<void(peers::Input)> input;
+    std::function<void(const std::string&)> log;
+  };
+  PeerLink(const config::Peers& config, Told told);
+  ~PeerLink();
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  void perform(const peers::Send& send);
+  void perform(const peers::Exchange& exchange);
+  void perform(const peers::Answer& answer);
+  void keep(const peers::News& self, std::vector<peers::News> members);
+  /// Nothing comes or goes any more.
+  void stop();
+
+ private:
+  struct Stream;
+
+  void try_to_start();
+  bool bind(std::string& why);
+  void read_datagrams();
+  void accept();
+  Stream& adopt(ObjectPtr<GSocket> socket, bool asked_here);
+  void watch(Stream& stream);
+  bool ready(Stream& stream);
+  void end(std::uint64_t stream);
+  void hear(std::string_view bytes, std::size_t most, const std::string& from, std::uint64_t stream);
+
+  const config::Peers config_;
+  Told told_;
+  PeerStore store_;
+  ObjectPtr<GSocket> datagrams_, listener_;
+  Source reading_, accepting_, starting_;
+  std::string waits_for_;  // as it was logged last
+  std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
+  std::uint64_t last_stream_ = 0;
+  std::int64_t second_ = 0;
+  int read_in_second_ = 0;
+};
+
+}  // namespace dahliahall::net
--- /dev/null
+++ b/src/net/peer_store.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What makes a member the same one after a restart: the mark of its disk, its incarnation and the members
+/// that were registered, in one file of its folder.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/kept_file.h"
+#include "peers/reducer.h"
+
+namespace dahliahall::net {
+
+class PeerStore {
+ public:
+  /// `log` is told of a file that can't be read or written.
+  PeerStore(const std::string& folder, const std::string& name, std::string cluster,
+            std::function<void(const std::string&)> log);
+  ~PeerStore();
+  PeerStore(const PeerStore&) = delete;
+  PeerStore& operator=(const PeerStore&) = delete;
+
+  /// Takes the folder for this process alone. False: another one has it, or it can't be opened (`why`).
+  bool lock(std::string& why);
+  /// Who this process is, once its new incarnation is on the disk. None where that failed: it must not take
+  /// part, since it could not tell its own past later on (`why`).
+  std::optional<peers::Identity> open(const peers::News& self, std::string& why);
+  /// Writes beside the loop; the newest counts.
+  void keep(const peers::News& self, std::vector<peers::News> members);
+
+ private:
+  [[nodiscard]] std::string text(const peers::News& self, std::vector<peers::News> members) const;
+  [[nodiscard]] std::optional<peers::Message> read() const;
+  bool write_durably(const std::string& bytes, std::string& why) const;
+
+  std::string folder_, path_, cluster_;
+  std::function<void(const std::string&)> log_;
+  KeptFile file_;
+  int locked_ = -1;
+};
+
+}  // namespace dahliahall::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,17 +17,11 @@
 #include <stdexcept>
 
 #include "edge/bounds.h"
+#include "net/address.h"
 
 namespace dahliahall::net {
 namespace {
 
-ObjectPtr<GSocketAddress> address_of(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  const std::string host = text.substr(0, colon);
-  const auto port = static_cast<guint>(std::strtoul(text.c_str() + colon + 1, nullptr, 10));
-  return ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(host.c_str(), port));
-}
-
 ObjectPtr<GSocket> new_socket(GSocketAddress* address) {
   ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
                                          G_SOCKET_PROTOCOL_TCP, nullptr));
@@ -172,6 +166,13 @@
         this, nullptr);
     g_source_attach(source->get(), nullptr);
   }
+  if (config.peers) {
+    peers_ = std::make_unique<PeerLink>(
+        *config.peers,
+        PeerLink::Told{[this](peers::Identity identity) { take(edge::PeersReady{std::move(identity)}); },
+                       [this](peers::Input input) { take(edge::PeersInput{std::move(input)}); },
+                       [this](const std::string& line) { perform(edge::Log{line}); }});
+  }
   hangup_ = Source(g_unix_signal_source_new(SIGHUP));
   g_source_set_callback(
       hangup_.get(),
@@ -479,4 +480,16 @@
   if (kept_.named()) kept_.write(keep.text);
 }
 
+void Server::perform(const edge::PeersEffect& effect) {
+  if (peers_) std::visit([this](const auto& e) { peers_->perform(e); }, effect.effect);
+}
+
+void Server::perform(const edge::PeersKeep& keep) {
+  if (peers_) peers_->keep(keep.self, keep.members);
+}
+
+void Server::perform(const edge::PeersStop&) {
+  if (peers_) peers_->stop();
+}
+
 }  // namespace dahliahall::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -13,6 +13,7 @@
 #include "edge/reducer.h"
 #include "net/glib_ptr.h"
 #include "net/kept_file.h"
+#include "net/peer_link.h"
 
 namespace dahliahall::net {
 
@@ -82,6 +83,9 @@
   void perform(const edge::Log& log);
   void perform(const edge::Yield& yield);
   void perform(const edge::Keep& keep);
+  void perform(const edge::PeersEffect& effect);
+  void perform(const edge::PeersKeep& keep);
+  void perform(const edge::PeersStop& stop);
 
   Source watch_listener(GSocket* listener, int priority, GSocketSourceFunc dispatch);
   void accept();
@@ -106,6 +110,7 @@
   Poller poller_;
   Source polling_, accepting_, admin_accepting_, timer_, term_, interrupt_, hangup_, looking_;
   KeptFile kept_;
+  std::unique_ptr<PeerLink> peers_;  // none unless configured
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
   std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
   bool busy_ = false;
--- /dev/null
+++ b/src/peers/reducer.cpp
@@ -0,0 +1,623 @@
+// SPDX-License-Identifier: MIT
+#include "peers/reducer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dahliahall::peers {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// For so long after its start a proxy takes news of its own name for that of an earlier process.
+constexpr Time kSettling = 5s;
+/// A view that differs for this long is mended by a whole exchange; one such exchange in this time, longer
+/// with more members.
+constexpr Time kDiffersFor = 2s;
+constexpr Time kMendEvery = 5s;
+constexpr Time kMendEveryMember = 20ms;
+/// What a member sends has come here this lately: the way from it to here is open.
+constexpr Time kHeardLately = 3s;
+/// Later than this by its own timers, it stood still.
+constexpr Time kStandstill = 500ms;
+constexpr Time kRefusalToldEvery = 10s;
+constexpr std::size_t kMostFavours = 64;
+constexpr std::size_t kLeaveTellsAtOnce = 16;
+constexpr double kExchangeMembers = 32;
+/// Part of the timeout after which one that pings for another says that nothing has come so far.
+constexpr double kNackAfter = 0.8;
+/// Raised at each start, so that refutations since the last write are below.
+constexpr std::uint64_t kLife = 1U << 20U;
+
+Time times(Time span, double factor) {
+  return Time{static_cast<Time::rep>(static_cast<double>(span.count()) * factor)};
+}
+
+}  // namespace
+
+State::State(Settings settings, Identity identity, std::uint64_t seed, Time now)
+    : settings_(std::move(settings)),
+      view_(settings_.name, settings_.max_members),
+      random_(seed),
+      now_(now),
+      started_(now),
+      new_here_(identity.empty_disk),
+      next_probe_(now),
+      next_gossip_(now),
+      next_seek_(now),
+      next_exchange_(now) {
+  view_.take({settings_.name,
+              settings_.address,
+              identity.disk,
+              identity.incarnation,
+              settings_.zone,
+              Liveness::alive,
+              {}},
+             now);
+  for (News& news : identity.known) {
+    if (news.name == settings_.name) continue;
+    // What was believed of them is old; that they are registered is not.
+    if (news.state == Liveness::suspect || news.state == Liveness::dead) news.state = Liveness::alive;
+    news.by.clear();
+    const View::Taken taken = view_.take(news, now);
+    if (taken.fate == View::Fate::news && reachable(news.state)) order_.push_back(news.name);
+  }
+  std::shuffle(order_.begin(), order_.end(), random_);
+  std::uniform_int_distribution<Time::rep> phase(0, settings_.probe_every.count());
+  next_probe_ += Time{phase(random_)};
+  next_exchange_ += times(settings_.exchange_every, std::uniform_real_distribution<>(0.5, 1)(random_));
+  queue_.add(self());
+}
+
+std::vector<Effect> State::take(Time now, const Input& input) {
+  const Time due = next_due(), gap = due < now ? now - due : Time{0};
+  now_ = std::max(now_, now);
+  // Guards the others against one that stood still: it heard no answers because it did not listen. It doubts
+  // itself first, judges none of the probes that were out and gives suspects the time that it missed.
+  if (settings_.lifeguard && gap > kStandstill) {
+    log("peers stood still ms=" + std::to_string(gap.count() / 1000));
+    doubt(settings_.most_doubt);
+    probes_.clear();
+    favours_.clear();
+    next_probe_ = now_ + settings_.probe_every;
+    std::set<std::pair<Time, std::string>> later;
+    for (const auto& [deadline, name] : suspects_) later.emplace(view_.find(name)->deadline += gap, name);
+    suspects_ = std::move(later);
+    for (auto& [name, since] : differs_) since = now_;
+  }
+  std::visit([this](const auto& in) { on(in); }, input);
+  if (!left_) run_due();
+  return std::exchange(effects_, {});
+}
+
+Time State::next_due() const {
+  if (left_) return Time::max();
+  Time due = std::min({next_probe_, next_seek_, next_exchange_});
+  if (!queue_.empty()) due = std::min(due, next_gossip_);
+  for (const auto& [number, probe] : probes_)
+    due = std::min(due, probe.phase == Phase::direct ? probe.timeout : probe.end);
+  for (const auto& [number, favour] : favours_)
+    due = std::min(due, favour.nacked ? favour.end : favour.nack_at);
+  if (!suspects_.empty()) due = std::min(due, suspects_.begin()->first);
+  return due;
+}
+
+// ---- Inputs ----
+
+void State::on(const Heard& in) {
+  const Message& m = in.message;
+  if (left_) return;
+  if (!m.to.empty() && m.to != settings_.name) {
+    ++counts_.not_for_here;
+    return;
+  }
+  if (m.from.name == settings_.name) {
+    // Its own words come back where a seed is its own address. Anything else is another process of its name.
+    if (m.from.disk != self().disk || m.from.address != self().address) merge_self(m.from);
+    return;
+  }
+  if (view_.full(m.from.name)) {
+    ++counts_.turned_away;
+    return;
+  }
+  merge(m.from, "it spoke");
+  for (const News& news : m.news) merge(news, "told by " + m.from.name);
+  Member* sender = view_.find(m.from.name);
+  if (sender == nullptr) return;
+  sender->heard = now_;
+  if (in.stream != 0 && m.kind == Kind::whole) {
+    Message answer = message(Kind::whole_answer, m.from.name, m.number);
+    answer.news = kept();
+    effects_.emplace_back(Answer{in.stream, std::move(answer)});
+  }
+  compare(m);
+  if (!takes_part()) {
+    // It only tells whoever pings why it takes no part.
+    if (m.kind == Kind::ping) send(m.from.name, message(Kind::gossip, m.from.name, 0), m.from.address);
+    return;
+  }
+  switch (m.kind) {
+    case Kind::ping:
+      on_ping(m);
+      break;
+    case Kind::ack:
+      on_ack(m);
+      break;
+    case Kind::nack:
+      on_nack(m);
+      break;
+    case Kind::ask:
+      on_ask(m);
+      break;
+    case Kind::gossip:
+    case Kind::whole:
+    case Kind::whole_answer:
+      break;
+  }
+}
+
+void State::on(const Refused& in) {
+  const std::uint64_t count = ++counts_.refused[static_cast<std::size_t>(in.reason)];
+  // Guards the log against a flood of them: the sums are among the figures.
+  if (now_ - refusal_told_ < kRefusalToldEvery) return;
+  refusal_told_ = now_;
+  log("peers refused reason=" + std::string(name_of(in.reason)) + " from=" + in.address +
+      " count=" + std::to_string(count));
+}
+
+void State::on(const StopAsked&) {
+  if (left_) return;
+  if (takes_part()) {
+    News news = self();
+    news.state = Liveness::left;
+    view_.take(news, now_);
+    queue_.add(news);
+    for (const std::string& name : some(kLeaveTellsAtOnce, "")) {
+      Message m = message(Kind::gossip, name, 0);
+      if (std::find(m.news.begin(), m.news.end(), news) == m.news.end()) m.news.push_back(news);
+      // Twice: guards what is said only now against one lost datagram.
+      for (int i = 0; i < 2; ++i) effects_.emplace_back(Send{address_of(name), m});
+    }
+  }
+  left_ = true;
+  log("peers left");
+  effects_.emplace_back(Keep{});
+}
+
+void State::on(const Forget& in) {
+  const Member* member = view_.find(in.name);
+  if (member == nullptr || member->news.state != Liveness::dead) return;
+  News news = member->news;
+  news.state = Liveness::forgotten;
+  news.by = settings_.name;
+  merge(news, "an operator's word");
+}
+
+void State::on_ping(const Message& m) {
+  send(m.from.name, message(Kind::ack, m.from.name, m.number), m.from.address);
+}
+
+void State::on_ack(const Message& m) {
+  if (const auto favour = favours_.find(m.number); favour != favours_.end()) {
+    if (favour->second.target != m.from.name) return;
+    Message on = message(Kind::ack, favour->second.asker, favour->second.number);
+    on.target = m.from.name;
+    send(favour->second.asker, std::move(on));
+    favours_.erase(favour);
+    return;
+  }
+  const auto found = probes_.find(m.number);
+  if (found == probes_.end()) return;
+  Probe& probe = found->second;
+  if (probe.target == m.from.name && m.target.empty()) {
+    if (Member* member = view_.find(probe.target)) set_way(*member, Way::direct);
+    if (settings_.lifeguard) doubt(-1);
+    probes_.erase(found);
+  } else if (probe.target == m.target) {
+    probe.relayed = true;
+    probe.nacks_due = std::max(0, probe.nacks_due - 1);
+  }
+}
+
+void State::on_nack(const Message& m) {
+  if (const auto found = probes_.find(m.number); found != probes_.end())
+    found->second.nacks_due = std::max(0, found->second.nacks_due - 1);
+}
+
+void State::on_ask(const Message& m) {
+  // Guards its own work against one that asks without end.
+  if (favours_.size() >= kMostFavours || m.target == settings_.name) return;
+  const std::uint64_t number = ++number_;
+  const Time wait = times(settings_.probe_timeout, kNackAfter);
+  favours_[number] = {m.target, m.from.name, m.number, now_ + wait, now_ + 4 * settings_.probe_timeout,
+                      false};
+  Message ping = message(Kind::ping, m.target, number);
+  const Member* target = view_.find(m.target);
+  effects_.emplace_back(
+      Send{target == nullptr ? route(m.target_address) : address_of(m.target), std::move(ping)});
+}
+
+// ---- Timers ----
+
+void State::run_due() {
+  for (auto it = favours_.begin(); it != favours_.end();) {
+    Favour& favour = it->second;
+    if (!favour.nacked && favour.nack_at <= now_) {
+      favour.nacked = true;
+      if (settings_.lifeguard) send(favour.asker, message(Kind::nack, favour.asker, favour.number));
+    }
+    it = favour.end <= now_ ? favours_.erase(it) : std::next(it);
+  }
+  for (auto it = probes_.begin(); it != probes_.end();) {
+    const std::uint64_t number = it->first;
+    Probe& probe = it->second;
+    if (probe.phase == Phase::direct && probe.timeout <= now_) ask_others(number, probe);
+    if (probe.end <= now_) {
+      const Probe over = std::move(probe);
+      it = probes_.erase(it);
+      judge(over);
+    } else {
+      ++it;
+    }
+  }
+  while (!suspects_.empty() && suspects_.begin()->first <= now_) {
+    News news = view_.find(suspects_.begin()->second)->news;
+    news.state = Liveness::dead;
+    news.by = settings_.name;
+    ++counts_.died;
+    merge(news, "did not refute");
+  }
+  if (next_probe_ <= now_) {
+    next_probe_ = now_ + slow() * settings_.probe_every;
+    probe_next();
+  }
+  if (next_seek_ <= now_) {
+    next_seek_ = now_ + settings_.seek_every;
+    seek();
+  }
+  if (next_exchange_ <= now_) {
+    const double more = std::max(1.0, static_cast<double>(view_.registered()) / kExchangeMembers);
+    next_exchange_ = now_ + times(settings_.exchange_every, more);
+    for (const std::string& name : some(1, "")) exchange_with(name);
+  }
+  if (!queue_.empty() && next_gossip_ <= now_) {
+    next_gossip_ = now_ + settings_.gossip_every;
+    gossip();
+  }
+}
+
+void State::probe_next() {
+  if (!takes_part()) return;
+  for (std::size_t tried = 0, most = order_.size() + view_.reached() + 1; tried < most; ++tried) {
+    if (turn_ >= order_.size()) {
+      order_.clear();
+      for (const auto& [name, member] : view_.members()) {
+        if (name != settings_.name && reachable(member.news.state)) order_.push_back(name);
+      }
+      std::shuffle(order_.begin(), order_.end(), random_);
+      turn_ = 0;
+      if (order_.empty()) return;
+    }
+    const std::string name = order_[turn_++];
+    const Member* member = view_.find(name);
+    if (member == nullptr || !reachable(member->news.state)) continue;
+    const std::uint64_t number = ++number_;
+    ++counts_.probes;
+    probes_[number] = {
+        name, Phase::direct, now_ + slow() * settings_.probe_timeout, now_ + slow() * settings_.probe_every,
+        0,    false};
+    send(name, message(Kind::ping, name, number));
+    return;
+  }
+}
+
+void State::ask_others(std::uint64_t number, Probe& probe) {
+  probe.phase = Phase::indirect;
+  for (const std::string& name : some(static_cast<std::size_t>(settings_.indirect), probe.target)) {
+    Message ask = message(Kind::ask, name, number);
+    ask.target = probe.target;
+    ask.target_address = view_.find(probe.target)->news.address;
+    send(name, std::move(ask));
+    ++probe.nacks_due;
+  }
+}
+
+/// A probe's time is over.
+void State::judge(const Probe& probe) {
+  Member* member = view_.find(probe.target);
+  if (member == nullptr || !reachable(member->news.state)) return;
+  if (probe.relayed) {
+    set_way(*member, now_ - member->heard < kHeardLately ? Way::one_way : Way::through);
+    if (settings_.lifeguard) doubt(-1);
+    return;
+  }
+  ++counts_.unanswered;
+  // Those who were asked say at least that nothing has come: where they are silent too, the fault is here.
+  if (settings_.lifeguard) doubt(std::max(1, probe.nacks_due));
+  suspect(probe.target);
+}
+
+/// Looks for those that are not reached: cuts heal by themselves, and one that knows nobody asks its seeds.
+void State::seek() {
+  std::vector<std::string> lost;
+  for (const auto& [name, member] : view_.members()) {
+    if (name != settings_.name && registered(member.news.state) && !reachable(member.news.state))
+      lost.push_back(name);
+  }
+  if (!lost.empty() && takes_part()) {
+    const std::string& name = lost[random_() % lost.size()];
+    send(name, message(Kind::ping, name, ++number_));
+  }
+  std::vector<std::string> strange;
+  for (const std::string& seed : settings_.seeds) {
+    const auto is_there = [&](const auto& entry) {
+      const News& news = entry.second.news;
+      return registered(news.state) && (news.address == seed || route(news.address) == seed);
+    };
+    const auto& members = view_.members();
+    if (std::none_of(members.begin(), members.end(), is_there)) strange.push_back(seed);
+  }
+  if (strange.empty()) return;
+  const std::string& seed = strange[random_() % strange.size()];
+  // Guards against islands: those that found each other first go on asking seeds that none of them is.
+  if (view_.reached() > 1) {
+    if (takes_part()) effects_.emplace_back(Send{seed, message(Kind::ping, "", ++number_)});
+    return;
+  }
+  Message m = message(Kind::whole, "", ++number_);
+  m.news = kept();
+  effects_.emplace_back(Exchange{seed, std::move(m)});
+}
+
+void State::gossip() {
+  if (!takes_part() && self().state != Liveness::disputed) return;
+  for (const std::string& name : some(static_cast<std::size_t>(settings_.gossip_to), "")) {
+    if (queue_.empty()) return;
+    send(name, message(Kind::gossip, name, 0));
+  }
+}
+
+void State::exchange_with(const std::string& name) {
+  ++counts_.exchanges;
+  exchanged_ = now_;
+  Message m = message(Kind::whole, name, ++number_);
+  m.news = kept();
+  effects_.emplace_back(Exchange{address_of(name), std::move(m)});
+}
+
+// ---- News ----
+
+void State::merge(const News& news, const std::string& cause) {
+  if (news.name == settings_.name) {
+    merge_self(news);
+    return;
+  }
+  if (view_.full(news.name)) {
+    ++counts_.turned_away;
+    return;
+  }
+  const View::Taken taken = view_.take(news, now_);
+  if (taken.fate == View::Fate::old) return;
+  Member& member = *view_.find(news.name);
+  if (taken.fate == View::Fate::confirms) {
+    // More than these shorten nothing: passing them on would only cost.
+    if (member.by.size() <= static_cast<std::size_t>(settings_.confirmations) + 1) queue_.add(news);
+    set_deadline(member);
+    return;
+  }
+  queue_.add(news);
+  follow_up(taken, member, cause);
+}
+
+void State::follow_up(const View::Taken& taken, const Member& member, const std::string& cause) {
+  const News& news = member.news;
+  Member& found = *view_.find(news.name);
+  suspects_.erase({found.deadline, news.name});
+  if (news.state == Liveness::suspect) set_deadline(found);
+  if (!reachable(news.state)) differs_.erase(news.name);
+  const bool was_reached = taken.before && reachable(*taken.before) && !taken.replaced;
+  if (reachable(news.state) && (taken.first || (taken.before && !was_reached))) {
+    const std::size_t place = order_.empty() ? 0 : random_() % (order_.size() + 1);
+    order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(place), news.name);
+    if (place < turn_) ++turn_;
+  }
+  const bool registers = taken.first || taken.replaced || taken.moved ||
+                         (taken.before && registered(*taken.before) != registered(news.state));
+  if (registers) effects_.emplace_back(Keep{});
+  if (taken.replaced)
+    log("peer replaced name=" + news.name + " disk=" + std::to_string(news.disk) +
+        " before=" + std::to_string(taken.replaced->disk) + ": what the one before held is gone");
+  if (taken.moved)
+    log("peer moved name=" + news.name + " address=" + news.address + " before=" + *taken.moved);
+  if (taken.first || taken.before) {
+    std::string line = "peer name=" + news.name + " state=" + std::string(name_of(news.state)) +
+                       " before=" + (taken.before ? std::string(name_of(*taken.before)) : "unknown") +
+                       " incarnation=" + std::to_string(news.incarnation);
+    if (!news.by.empty()) line += " by=" + news.by;
+    log(line + " cause=" + cause);
+  }
+}
+
+void State::merge_self(const News& news) {
+  const News mine = self();
+  if (left_ || news.incarnation < mine.incarnation) return;
+  if (news.disk == mine.disk && news.incarnation == mine.incarnation) {
+    if (news.state == mine.state) return;
+    if (news.state == Liveness::alive) {
+      // Guards against two processes with one disk: only a start raises the incarnation, so an address that
+      // is not from here is another process's.
+      if (news.address == mine.address) return;
+      raise(news.incarnation, Liveness::disputed);
+      return;
+    }
+    if (mine.state == Liveness::disputed) return;
+    ++counts_.refuted;
+    if (settings_.lifeguard && news.state != Liveness::forgotten) doubt(1);
+    if (news.state == Liveness::forgotten) log("peers forgotten by=" + news.by + ": joins again");
+    log("peers refuted state=" + std::string(name_of(news.state)) + " by=" + news.by);
+    raise(news.incarnation, Liveness::alive);
+    return;
+  }
+  if (news == mine) return;
+  // Soon after its start this is what is left of an earlier process; later on another one uses the name now.
+  const bool settling = now_ - started_ < kSettling;
+  if (settling && mine.state != Liveness::disputed) {
+    if (news.disk != mine.disk) log("peers name taken over disk=" + std::to_string(news.disk));
+    raise(news.incarnation + kLife, Liveness::alive);
+  } else if (mine.state != Liveness::disputed || news.state != Liveness::disputed) {
+    raise(news.incarnation, Liveness::disputed);
+  }
+}
+
+/// Says anew what this proxy is, above that incarnation.
+void State::raise(std::uint64_t above, Liveness state) {
+  News mine = self();
+  const Liveness before = mine.state;
+  mine.incarnation = above + 1;
+  mine.state = state;
+  mine.by = state == Liveness::disputed ? settings_.name : "";
+  view_.take(mine, now_);
+  queue_.add(mine);
+  if (state == Liveness::disputed && before != state) {
+    probes_.clear();
+    log("peers disputed: another process uses the name " + settings_.name +
+        "; it takes no part until one of them is stopped and the other started again");
+  }
+  effects_.emplace_back(Keep{});
+}
+
+void State::suspect(const std::string& name) {
+  News news = view_.find(name)->news;
+  news.state = Liveness::suspect;
+  news.by = settings_.name;
+  ++counts_.suspected;
+  merge(news, "no answer, neither to this proxy nor through others");
+}
+
+/// From the least, with enough independent confirmations or too few members for any, to `suspicion_most` of
+/// it.
+void State::set_deadline(Member& member) {
+  const Time least = std::max(settings_.suspicion_least,
+                              times(settings_.probe_every, settings_.suspicion_factor * spread()));
+  Time span = least;
+  const auto others = static_cast<int>(view_.reached()) - 2;  // but this one and the suspect
+  const int wanted = std::min(settings_.confirmations, others);
+  if (settings_.lifeguard && wanted > 0) {
+    const Time most = times(least, settings_.suspicion_most);
+    const double part = std::log(static_cast<double>(member.by.size())) / std::log(wanted + 1.0);
+    span = std::max(least, most - times(most - least, part));
+  }
+  suspects_.erase({member.deadline, member.news.name});
+  member.deadline = member.suspected + span;
+  suspects_.emplace(member.deadline, member.news.name);
+}
+
+void State::set_way(Member& member, Way way) {
+  if (member.way == way) return;
+  const Way before = member.way;
+  member.way = way;
+  member.way_since = now_;
+  if (before == Way::unknown && way == Way::direct) return;
+  log("peer way name=" + member.news.name + " way=" + std::string(name_of(way)) +
+      " before=" + std::string(name_of(before)));
+}
+
+/// Holds the sender's view against this one's.
+void State::compare(const Message& m) {
+  if (m.digest == view_.digest()) {
+    differs_.erase(m.from.name);
+    return;
+  }
+  const Time since = differs_.try_emplace(m.from.name, now_).first->second;
+  const Time least = kMendEvery + kMendEveryMember * static_cast<int>(view_.registered());
+  if (now_ - since < kDiffersFor || now_ - exchanged_ < least || !takes_part()) return;
+  exchange_with(m.from.name);
+}
+
+// ---- Sending ----
+
+Message State::message(Kind kind, const std::string& to, std::uint64_t number) {
+  Message m;
+  m.kind = kind;
+  m.number = number;
+  m.to = to;
+  m.from = self();
+  m.digest = view_.digest();
+  return m;
+}
+
+/// To that member, at `address` where it is answered: it may not be where this view has it. With as much news
+/// as fits. What the receiver should know of itself goes first, every time: it alone can refute it, and the
+/// longer that takes the shorter is the time left to do so.
+void State::send(const std::string& to, Message m, const std::string& address) {
+  std::size_t room = settings_.datagram - std::min(settings_.datagram, head_size(m, settings_.cluster));
+  const Member* member = view_.find(to);
+  if (member != nullptr && settings_.lifeguard && member->news.state != Liveness::alive &&
+      size_of(member->news) <= room) {
+    m.news.push_back(member->news);
+    room -= size_of(member->news);
+  }
+  if (!queue_.empty()) {
+    const auto most = static_cast<std::size_t>(
+        std::ceil(settings_.news_factor * std::log10(static_cast<double>(view_.registered()) + 1)));
+    for (News& news : queue_.give(room, std::max<std::size_t>(most, 2), size_of))
+      m.news.push_back(std::move(news));
+  }
+  effects_.emplace_back(Send{address.empty() ? address_of(to) : route(address), std::move(m)});
+}
+
+/// Where what is for that address is sent.
+const std::string& State::route(const std::string& address) const {
+  const auto booked = settings_.book.find(address);
+  return booked == settings_.book.end() ? address : booked->second;
+}
+
+std::string State::address_of(const std::string& name) const {
+  const Member* member = view_.find(name);
+  return member == nullptr ? std::string() : route(member->news.address);
+}
+
+bool State::takes_part() const { return !left_ && self().state == Liveness::alive; }
+
+double State::spread() const { return std::max(1.0, std::log10(static_cast<double>(view_.registered()))); }
+
+void State::doubt(int steps) { doubt_ = std::clamp(doubt_ + steps, 0, settings_.most_doubt); }
+
+/// Reachable members drawn at random, others than this one and `but`.
+std::vector<std::string> State::some(std::size_t count, const std::string& but) {
+  std::vector<std::string> drawn;
+  const std::size_t tries = 4 * count + 8;
+  // The order of probes holds nearly all of them: drawing from it costs nothing that grows with the members.
+  for (std::size_t i = 0; i < tries && drawn.size() < count && !order_.empty(); ++i) {
+    const std::string& name = order_[random_() % order_.size()];
+    const Member* member = view_.find(name);
+    if (name != but && member != nullptr && reachable(member->news.state) &&
+        std::find(drawn.begin(), drawn.end(), name) == drawn.end())
+      drawn.push_back(name);
+  }
+  return drawn;
+}
+
+// ---- What is told of it ----
+
+std::pair<std::size_t, Time> State::differing() const {
+  Time since = now_;
+  for (const auto& [name, when] : differs_) since = std::min(since, when);
+  return {differs_.size(), since};
+}
+
+std::vector<News> State::kept() const {
+  std::vector<News> all;
+  all.reserve(view_.members().size());
+  for (const auto& [name, member] : view_.members()) all.push_back(member.news);
+  return all;
+}
+
+std::size_t State::entries() const {
+  std::size_t by = 0;
+  for (const auto& [deadline, name] : suspects_) by += view_.find(name)->by.size();
+  return view_.members().size() + queue_.size() + probes_.size() + favours_.size() + order_.size() +
+         suspects_.size() + differs_.size() + by;
+}
+
+}  // namespace dahliahall::peers
--- /dev/null
+++ b/src/peers/report.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+#include "peers/report.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+
+namespace dahliahall::peers {
+namespace {
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void put(Writer& out, const char* key, std::string_view value) {
+  out.Key(key);
+  out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+void put(Writer& out, const char* key, std::uint64_t value) {
+  out.Key(key);
+  out.Uint64(value);
+}
+void put_ago(Writer& out, const char* key, Time now, Time then) {
+  put(out, key, static_cast<std::uint64_t>(std::max<Time::rep>(0, (now - then).count()) / 1000));
+}
+
+void put(Writer& out, const Member& member, bool self, Time now) {
+  const News& news = member.news;
+  out.StartObject();
+  put(out, "name", news.name);
+  put(out, "state", name_of(news.state));
+  put(out, "since_ms", static_cast<std::uint64_t>((now - member.since).count() / 1000));
+  put(out, "incarnation", news.incarnation);
+  put(out, "disk", std::to_string(news.disk));
+  put(out, "address", news.address);
+  put(out, "zone", static_cast<std::uint64_t>(news.zone));
+  if (self) {
+    out.Key("self");
+    out.Bool(true);
+  } else {
+    put(out, "way", name_of(member.way));
+    if (member.heard > Time{0}) put_ago(out, "heard_ms", now, member.heard);
+  }
+  if (news.state == Liveness::suspect) {
+    out.Key("suspected_by");
+    out.StartArray();
+    for (const std::string& by : member.by) out.String(by.c_str());
+    out.EndArray();
+  } else if (!news.by.empty()) {
+    put(out, "by", news.by);
+  }
+  out.EndObject();
+}
+
+}  // namespace
+
+std::string report(const State& state, Time now) {
+  rapidjson::StringBuffer text;
+  Writer out(text);
+  const View& view = state.view();
+  const auto [differing, since] = state.differing();
+  out.StartObject();
+  put(out, "name", state.settings().name);
+  put(out, "cluster", state.settings().cluster);
+  put(out, "stands", name_of(view.standing()));
+  put(out, "registered", view.registered());
+  put(out, "reached", view.reached());
+  put(out, "doubt", static_cast<std::uint64_t>(state.doubt()));
+  put(out, "digest", std::to_string(view.digest()));
+  put(out, "differing", differing);
+  if (differing > 0) put_ago(out, "differing_ms", now, since);
+  std::vector<const Member*> members;
+  for (const auto& [name, member] : view.members()) members.push_back(&member);
+  std::sort(members.begin(), members.end(),
+            [](const Member* a, const Member* b) { return a->news.name < b->news.name; });
+  out.Key("members");
+  out.StartArray();
+  for (const Member* member : members) put(out, *member, member->news.name == state.settings().name, now);
+  out.EndArray();
+  out.EndObject();
+  return std::string(text.GetString(), text.GetSize()) + "\n";
+}
+
+std::vector<Figure> figures(const State& state, Time now) {
+  const Counts& counts = state.counts();
+  const auto [differing, since] = state.differing();
+  std::vector<Figure> all{
+      {"registered", state.view().registered()},
+      {"reached", state.view().reached()},
+      {"stands", static_cast<std::uint64_t>(state.view().standing())},
+      {"doubt", static_cast<std::uint64_t>(state.doubt())},
+      {"differing", differing},
+      {"differing_ms", static_cast<std::uint64_t>(std::max<Time::rep>(0, (now - since).count()) / 1000)},
+      {"entries", state.entries()},
+      {"probes", counts.probes, true},
+      {"unanswered", counts.unanswered, true},
+      {"suspected", counts.suspected, true},
+      {"died", counts.died, true},
+      {"refuted", counts.refuted, true},
+      {"exchanges", counts.exchanges, true},
+      {"not_for_here", counts.not_for_here, true},
+      {"turned_away", counts.turned_away, true}};
+  for (std::size_t i = 0; i < kRefusals; ++i)
+    all.push_back({"refused." + std::string(name_of(static_cast<Refusal>(i))), counts.refused[i], true});
+  return all;
+}
+
+}  // namespace dahliahall::peers
--- /dev/null
+++ b/src/peers/report.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What operators are shown of the peers. No I/O.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peers/reducer.h"
+
+namespace dahliahall::peers {
+
+/// One JSON object: where this proxy stands, and each member. Times are milliseconds before `now`.
+std::string report(const State& state, Time now);
+
+struct Figure {
+  std::string name;
+  std::uint64_t value = 0;
+  bool count = false;  ///< from the start; else what is so now
+};
+std::vector<Figure> figures(const State& state, Time now);
+
+}  // namespace dahliahall::peers
--- /dev/null
+++ b/tests/fleet/peers_fleet_test.cpp
@@ -0,0 +1,262 @@
+// SPDX-License-Identifier: MIT
+// Several processes that know each other, with faults of them and between them. Bounds are several times what
+// a busy machine was seen to need (docs/peers.md).
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <random>
+#include <thread>
+
+#include "fleet.h"
+#include "started_program.h"
+
+namespace dahliahall::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kJoined = 15s;
+constexpr auto kKnown = 15s;
+constexpr auto kHealed = 20s;
+
+class Peering : public ::testing::Test {
+ protected:
+  static void settle(Fleet& fleet) {
+    fleet.expect("all have found each other", kJoined, [&] { return fleet.agree(); });
+  }
+  /// Nobody that runs was declared dead by anybody, as far as the logs go.
+  static std::size_t deaths_in_logs(Fleet& fleet) {
+    std::size_t deaths = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      const std::string log = fleet.log(i);
+      for (std::size_t at = 0; (at = log.find(" state=dead ", at)) != std::string::npos; ++at) ++deaths;
+    }
+    return deaths;
+  }
+};
+
+TEST_F(Peering, OneOfFiveKilledIsKnownToAllAndReturnsWithItsDisk) {
+  Fleet fleet(5);
+  settle(fleet);
+  const auto before = fleet.view(0);
+  fleet.kill(3);
+  fleet.expect("its death is known to all", kKnown, [&] { return fleet.all_tell(3, "dead"); });
+  EXPECT_EQ(fleet.view(0)->registered, 5U);
+  EXPECT_EQ(fleet.view(0)->stands, "whole");
+  fleet.start(3);
+  fleet.expect("it is back for all", kHealed, [&] { return fleet.agree(); });
+  const auto after = fleet.view(0);
+  EXPECT_EQ(after->members.at("edge-3").disk, before->members.at("edge-3").disk) << fleet.story();
+  EXPECT_GT(after->members.at("edge-3").incarnation, before->members.at("edge-3").incarnation);
+  EXPECT_EQ(fleet.log(0).find("peer replaced"), std::string::npos) << "the same member, not another one";
+}
+
+TEST_F(Peering, AnEmptyDiskIsAnotherMemberUnderTheName) {
+  Fleet fleet(4);
+  settle(fleet);
+  const std::string disk = fleet.view(0)->members.at("edge-2").disk;
+  fleet.kill(2);
+  fleet.empty_disk(2);
+  fleet.start(2);
+  fleet.expect("it is back for all", kHealed, [&] { return fleet.agree(); });
+  EXPECT_NE(fleet.view(0)->members.at("edge-2").disk, disk);
+  for (const std::size_t i : {0U, 1U, 3U})
+    EXPECT_NE(fleet.log(i).find("peer replaced name=edge-2"), std::string::npos) << i << fleet.story();
+}
+
+TEST_F(Peering, AMinorityAndAnEvenSplitAreToldAndHealByThemselves) {
+  Fleet fleet(5);
+  settle(fleet);
+  fleet.split(2, true);
+  fleet.expect("two stand apart, three whole", kKnown, [&] {
+    for (std::size_t i = 0; i < 5; ++i) {
+      const auto told = fleet.view(i);
+      if (!told || told->stands != (i < 2 ? "part" : "whole") || told->registered != 5) return false;
+    }
+    return true;
+  });
+  fleet.split(2, false);
+  fleet.expect("one view again", kHealed, [&] { return fleet.agree(); });
+  fleet.terminate(4);
+  fleet.expect("it has left for all", 3s, [&] { return fleet.all_tell(4, "left"); });
+  EXPECT_EQ(fleet.view(0)->registered, 4U);
+  fleet.split(2, true);
+  fleet.expect("an even split is whole nowhere", kKnown, [&] {
+    for (std::size_t i = 0; i < 4; ++i) {
+      if (const auto told = fleet.view(i); !told || told->stands != "part") return false;
+    }
+    return true;
+  });
+  fleet.split(2, false);
+  fleet.expect("one view again", kHealed, [&] { return fleet.agree(); });
+}
+
+TEST_F(Peering, AOneWayCutAndABridgeAreNoDeaths) {
+  Fleet fleet(4);
+  settle(fleet);
+  Fault cut;
+  cut.cut = true;
+  fleet.set(0, 1, cut);
+  fleet.expect("0 hears 1 and is not heard", kKnown,
+               [&] { return fleet.view(0)->members.at("edge-1").way == "one_way"; });
+  EXPECT_TRUE(fleet.tells(0, 1, "alive") || fleet.tells(0, 1, "suspect")) << fleet.story();
+  fleet.set(1, 0, cut);
+  fleet.expect("2 and 3 are the bridge", kKnown, [&] {
+    return fleet.view(0)->members.at("edge-1").way == "through" &&
+           fleet.view(1)->members.at("edge-0").way == "through";
+  });
+  EXPECT_EQ(deaths_in_logs(fleet), 0U) << fleet.story();
+  fleet.set(0, 1, {});
+  fleet.set(1, 0, {});
+  fleet.expect("direct again", kHealed, [&] { return fleet.view(0)->members.at("edge-1").way == "direct"; });
+}
+
+TEST_F(Peering, OneThatStoodStillDoubtsItselfFirst) {
+  Fleet fleet(5);
+  settle(fleet);
+  fleet.stop(2);
+  Fleet::pass(5s);  // the fault itself: it is stopped for that long
+  fleet.resume(2);
+  fleet.expect("it is back for all", kHealed, [&] { return fleet.agree(); });
+  EXPECT_NE(fleet.log(2).find("peers stood still"), std::string::npos) << fleet.story();
+  for (const std::size_t other : {0U, 1U, 3U, 4U}) {
+    const std::string log = fleet.log(other);
+    for (std::size_t at = 0; (at = log.find(" state=dead ", at)) != std::string::npos; ++at)
+      EXPECT_EQ(log.compare(log.rfind("name=", at), 11, "name=edge-2"), 0) << fleet.story();
+  }
+  EXPECT_EQ(fleet.figure(2, "died"), 0U) << fleet.story();
+}
+
+TEST_F(Peering, AllButOneKilledAndStartedAgain) {
+  Fleet fleet(5);
+  settle(fleet);
+  for (const std::size_t i : {1U, 2U, 3U, 4U}) fleet.kill(i);
+  fleet.expect("it stands alone", kKnown, [&] { return fleet.view(0)->stands == "alone"; });
+  EXPECT_EQ(fleet.view(0)->registered, 5U);
+  for (const std::size_t i : {1U, 2U, 3U, 4U}) fleet.start(i);
+  fleet.expect("one view again", kHealed, [&] { return fleet.agree(); });
+}
+
+TEST_F(Peering, ARollingRestartKeepsAllRegistered) {
+  Fleet fleet(4);
+  settle(fleet);
+  for (std::size_t i = 0; i < 4; ++i) {
+    fleet.terminate(i);
+    fleet.start(i);
+    fleet.expect("it is back for all", kHealed, [&] { return fleet.agree(); });
+  }
+  EXPECT_EQ(fleet.view(0)->registered, 4U);
+  EXPECT_EQ(deaths_in_logs(fleet), 0U) << fleet.story();
+}
+
+TEST_F(Peering, ANameUsedTwiceIsToldToBothAndNeitherTakesPart) {
+  Fleet fleet(4);
+  settle(fleet);
+  const std::size_t twin = fleet.start_double(1);
+  fleet.expect("both are told, and all others", 30s, [&] {
+    const auto first = fleet.view(1), second = fleet.view(twin);
+    return first && second && first->stands == "disputed" && second->stands == "disputed" &&
+           fleet.tells(0, 1, "disputed") && fleet.tells(3, 1, "disputed");
+  });
+  fleet.kill(twin);
+  fleet.terminate(1);
+  fleet.start(1);
+  fleet.expect("with one of them stopped it is a member", kHealed,
+               [&] { return fleet.all_tell(1, "alive"); });
+}
+
+TEST_F(Peering, LostDatagramsKillNobody) {
+  Fleet fleet(5);
+  settle(fleet);
+  for (const double part : {0.1, 0.25}) {
+    Fault fault;
+    fault.drop = part;
+    fault.duplicate = 0.1;
+    fault.reorder = 0.1;
+    fleet.set_all(fault);
+    Fleet::pass(6s);  // the fault itself: for that long it lasts
+  }
+  EXPECT_EQ(deaths_in_logs(fleet), 0U) << fleet.story();
+  fleet.set_all({});
+  fleet.expect("one view", kHealed, [&] { return fleet.agree(); });
+}
+
+TEST_F(Peering, StrangersAndBrokenDatagramsCostOnlyThemselves) {
+  Fleet fleet(3);
+  settle(fleet);
+  Fault fault;
+  fault.corrupt = 0.2;
+  fleet.set_all(fault);
+  for (int i = 0; i < 50; ++i) {
+    fleet.throw_at(0, std::string(64, static_cast<char>(i)));
+    fleet.throw_at(0, std::string(1500, 'x'));
+  }
+  fleet.expect("they are counted by reason", 10s, [&] {
+    return fleet.figure(0, "refused.malformed") >= 50 && fleet.figure(0, "refused.oversized") >= 50;
+  });
+  fleet.set_all({});
+  fleet.expect("one view", kHealed, [&] { return fleet.agree(); });
+  EXPECT_NE(fleet.log(0).find("peers refused reason="), std::string::npos);
+}
+
+TEST_F(Peering, AnOperatorForgetsADeadOneOnly) {
+  Fleet fleet(4);
+  settle(fleet);
+  EXPECT_EQ(fleet.call(0, "POST", "/v1/peers/edge-3/forget").first, 409);
+  EXPECT_EQ(fleet.call(0, "POST", "/v1/peers/edge-9/forget").first, 404);
+  fleet.kill(3);
+  fleet.expect("its death is known to all", kKnown, [&] { return fleet.all_tell(3, "dead"); });
+  EXPECT_EQ(fleet.call(0, "POST", "/v1/peers/edge-3/forget").first, 200);
+  fleet.expect("forgotten by all", kKnown, [&] { return fleet.all_tell(3, "forgotten"); });
+  EXPECT_EQ(fleet.view(1)->registered, 3U);
+  fleet.start(3);  // it was not gone after all: it joins anew
+  fleet.expect("one view again", kHealed, [&] { return fleet.agree(); });
+  EXPECT_EQ(fleet.view(1)->registered, 4U);
+}
+
+TEST(PeeringBesideClients, NoRequestIsLostUnderAFloodOfBrokenDatagrams) {
+  static std::string section;
+  const int port = free_port();
+  std::string folder = "/tmp/dahliahall-fleet-XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  section = R"({"peers":{"cluster":"test","folder":")" + folder + R"(","listen":"127.0.0.1:)" +
+            std::to_string(port) + R"("},)";
+  {
+    StartedProgram program({"box-1", "up-1", "main"},
+                           [](std::string config) { return section + config.substr(1); });
+    std::atomic<bool> over{false};
+    std::thread flood([&] {
+      const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+      sockaddr_in to{};
+      to.sin_family = AF_INET;
+      to.sin_port = htons(static_cast<std::uint16_t>(port));
+      to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      std::mt19937 random(5);
+      std::string bytes(200, '\0');
+      for (int i = 0; i < 3'000'000 && !over; ++i) {
+        for (char& c : bytes) c = static_cast<char>(random());
+        sendto(fd, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+      }
+      close(fd);
+    });
+    for (int n = 1; n <= 100; ++n) {
+      const std::string number = std::to_string(n);
+      play(program, "anna send " + number + " pages limit=9000\nbox-1 expect serve " + number +
+                        "\nbox-1 send HIT " + number + " ver=a b\nanna expect served " + number + "\n");
+    }
+    over = true;
+    flood.join();
+    play(program, "ops send GET /v1/metrics\nops expect 200 svc.calls.pages.success:100|c");
+    EXPECT_NE(program.log().find("peers refused reason="), std::string::npos) << program.log();
+  }
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/peers_test.cpp
@@ -0,0 +1,192 @@
+// SPDX-License-Identifier: MIT
+// Membership in virtual time: the reducers of many members and what lies between them.
+#include <gtest/gtest.h>
+
+#include "peers_world.h"
+
+namespace dahliahall::test {
+namespace {
+
+using peers::Liveness;
+using peers::Standing;
+using peers::Way;
+
+std::string logs_of(PeersWorld& world) {
+  std::string all;
+  for (std::size_t i = 0; i < std::min<std::size_t>(world.size(), 8); ++i)
+    all += "-- " + PeersWorld::name(i) + "\n" + world.node(i).log;
+  return all;
+}
+
+TEST(Peers, FiveThatKnowOneSeedFindEachOther) {
+  PeersWorld world(5);
+  EXPECT_TRUE(world.until([&] { return world.agreed() && world.node(4).state->view().reached() == 5; }, 5s))
+      << logs_of(world);
+  EXPECT_EQ(world.node(3).state->view().standing(), Standing::whole);
+}
+
+TEST(Peers, AKilledOneIsKnownToAllAndStaysRegistered) {
+  const auto world = PeersWorld::settled(5);
+  world->run(2s);
+  world->kill(2);
+  EXPECT_TRUE(world->until([&] { return world->all_believe(2, Liveness::dead); }, 5s)) << logs_of(*world);
+  EXPECT_EQ(world->node(0).state->view().registered(), 5U);
+  EXPECT_EQ(world->node(0).state->view().reached(), 4U);
+  world->start(2, false);
+  EXPECT_TRUE(world->until([&] { return world->all_believe(2, Liveness::alive); }, 5s)) << logs_of(*world);
+  EXPECT_EQ(world->seen(0, 2)->news.disk, 3U) << "the same disk: the same member";
+}
+
+TEST(Peers, OneThatComesBackWithAnEmptyDiskIsAnotherMember) {
+  const auto world = PeersWorld::settled(4);
+  world->run(2s);
+  world->kill(1);
+  world->run(1s);  // before its death is known: only the others can tell it what it is to be above
+  world->start(1, true);
+  const std::uint64_t disk = world->node(1).disk;
+  EXPECT_TRUE(world->until(
+      [&] {
+        return world->believes(0, 1, Liveness::alive) && world->seen(0, 1)->news.disk == disk &&
+               world->agreed();
+      },
+      6s))
+      << logs_of(*world);
+  EXPECT_NE(world->node(0).log.find("peer replaced name=n1"), std::string::npos) << logs_of(*world);
+}
+
+TEST(Peers, ASecondProcessOfOneNameIsToldAndSoIsTheFirst) {
+  auto world = PeersWorld::settled(5);
+  world->run(10s);
+  // Node 4 starts again as another process under the name n1, on a disk of its own.
+  world->kill(4);
+  world->run(4s);
+  peers::Settings settings = world->node(1).state->settings();
+  settings.address = PeersWorld::address(4);
+  world->node(4).state =
+      std::make_unique<peers::State>(settings, peers::Identity{99, 1U << 20U, true, {}}, 7, world->now());
+  world->feed(4, peers::Due{});
+  const auto disputed = [&](std::size_t i) {
+    return world->node(i).state->view().standing() == Standing::disputed;
+  };
+  EXPECT_TRUE(world->until(
+      [&] { return disputed(1) && disputed(4) && world->believes(0, 1, Liveness::disputed); }, 20s))
+      << logs_of(*world);
+  // Once one is stopped and the other started again, it is a member as before.
+  world->kill(4);
+  world->kill(1);
+  world->start(1, false);
+  EXPECT_TRUE(world->until(
+      [&] { return world->all_believe(1, Liveness::alive) || !world->believes(0, 1, Liveness::disputed); },
+      10s))
+      << logs_of(*world);
+}
+
+TEST(Peers, ACutIsSeenOnBothSidesAndHealsByItself) {
+  const auto world = PeersWorld::settled(5);
+  world->run(2s);
+  world->cut = [](std::size_t a, std::size_t b) { return (a < 2) != (b < 2); };
+  EXPECT_TRUE(world->until(
+      [&] {
+        return world->node(0).state->view().standing() == Standing::part &&
+               world->node(4).state->view().standing() == Standing::whole;
+      },
+      6s))
+      << logs_of(*world);
+  EXPECT_EQ(world->node(0).state->view().registered(), 5U);
+  world->cut = nullptr;
+  EXPECT_TRUE(
+      world->until([&] { return world->agreed() && world->node(0).state->view().reached() == 5; }, 8s))
+      << logs_of(*world);
+}
+
+TEST(Peers, AnEvenSplitIsWholeNowhere) {
+  const auto world = PeersWorld::settled(4);
+  world->run(2s);
+  world->cut = [](std::size_t a, std::size_t b) { return (a < 2) != (b < 2); };
+  world->run(6s);
+  for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(world->node(i).state->view().standing(), Standing::part) << i;
+}
+
+TEST(Peers, AOneWayCutAndABridgeAreToldFromADeath) {
+  const auto world = PeersWorld::settled(5);
+  world->run(4s);
+  world->cut = [](std::size_t a, std::size_t b) { return a == 0 && b == 1; };
+  EXPECT_TRUE(world->until(
+      [&] { return world->seen(0, 1)->way == Way::one_way || world->seen(0, 1)->way == Way::through; }, 10s));
+  world->run(10s);
+  EXPECT_TRUE(world->believes(0, 1, Liveness::alive)) << logs_of(*world);
+  EXPECT_EQ(world->seen(0, 1)->way, Way::one_way);
+  world->cut = [](std::size_t a, std::size_t b) {
+    return a + b == 1;
+  };  // 0 and 1, both ways: 2 is the bridge
+  world->run(15s);
+  EXPECT_TRUE(world->believes(0, 1, Liveness::alive)) << logs_of(*world);
+  EXPECT_EQ(world->seen(0, 1)->way, Way::through);
+  EXPECT_EQ(world->seen(1, 0)->way, Way::through);
+}
+
+TEST(Peers, OneThatStoodStillDoubtsItselfAndKillsNobody) {
+  const auto world = PeersWorld::settled(5);
+  world->run(2s);
+  world->stop(3);
+  world->run(5s);
+  EXPECT_TRUE(world->all_believe(3, Liveness::dead)) << logs_of(*world);
+  const std::uint64_t before = world->deaths_declared();
+  world->resume(3);
+  EXPECT_GT(world->node(3).state->doubt(), 0);
+  EXPECT_TRUE(world->until([&] { return world->all_believe(3, Liveness::alive) && world->agreed(); }, 10s))
+      << logs_of(*world);
+  world->run(20s);
+  EXPECT_EQ(world->deaths_declared(), before) << logs_of(*world);
+  EXPECT_EQ(world->node(3).state->counts().suspected, 0U) << logs_of(*world);
+}
+
+TEST(Peers, OneThatLeavesInOrderIsNotRegisteredAnyMore) {
+  const auto world = PeersWorld::settled(5);
+  world->run(2s);
+  world->feed(2, peers::StopAsked{});
+  EXPECT_TRUE(world->until([&] { return world->all_believe(2, Liveness::left); }, 1s)) << logs_of(*world);
+  EXPECT_EQ(world->node(0).state->view().registered(), 4U);
+}
+
+TEST(Peers, AnOperatorsWordForgetsADeadOneAndNoOther) {
+  const auto world = PeersWorld::settled(4);
+  world->run(2s);
+  world->feed(0, peers::Forget{"n3"});
+  EXPECT_TRUE(world->believes(0, 3, Liveness::alive)) << "it lives";
+  world->kill(3);
+  world->run(6s);
+  world->feed(0, peers::Forget{"n3"});
+  EXPECT_TRUE(world->until([&] { return world->all_believe(3, Liveness::forgotten); }, 2s))
+      << logs_of(*world);
+  EXPECT_EQ(world->node(1).state->view().registered(), 3U);
+}
+
+TEST(Peers, ATenthAndAQuarterOfDatagramsLostKillNobody) {
+  for (const double loss : {0.1, 0.25}) {
+    const auto world = PeersWorld::settled(20, 5);
+    world->loss = loss;
+    world->run(60s);
+    EXPECT_EQ(world->deaths_declared(), 0U) << loss << logs_of(*world);
+  }
+}
+
+TEST(Peers, ManyLearnOfAThirdOfThemKilledAtOnce) {  // 1,000 of them: bench/peers_figures
+  constexpr std::size_t kMembers = 150;
+  const auto world = PeersWorld::settled(kMembers);
+  world->logs = false;
+  world->run(1s);
+  for (std::size_t i = 0; i < kMembers; i += 3) world->kill(i);
+  const auto known = [&] {
+    for (std::size_t i = 0; i < kMembers; i += 3) {
+      if (!world->all_believe(i, Liveness::dead)) return false;
+    }
+    return true;
+  };
+  EXPECT_TRUE(world->until(known, 30s, 500ms));
+  EXPECT_EQ(world->node(1).state->view().registered(), kMembers);
+  EXPECT_EQ(world->wrongly_dead(), 0U);
+}
+
+}  // namespace
+}  // namespace dahliahall::test
--- /dev/null
+++ b/tests/peers_world.h
@@ -0,0 +1,234 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// Many members' reducers in virtual time, with what lies between them: delay, loss, cuts, standstills.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "peers/reducer.h"
+
+namespace dahliahall::test {
+
+using namespace std::chrono_literals;
+
+class PeersWorld {
+ public:
+  using Time = peers::Time;
+  struct Node {
+    std::unique_ptr<peers::State> state;  // none: the process does not run
+    std::uint64_t disk = 0, life = 0;
+    std::vector<peers::News> kept;
+    bool stopped = false;  // SIGSTOP: what comes waits
+    std::vector<peers::Input> waiting;
+    std::string log;
+    std::uint64_t bytes = 0, messages = 0;  // sent
+    Time armed{-1};
+  };
+
+  explicit PeersWorld(std::size_t count, std::uint64_t seed = 1,
+                      std::function<void(peers::Settings&)> edit = {})
+      : edit_(std::move(edit)), random_(seed) {
+    nodes_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) start(i, true);
+  }
+  /// All know all from the start, as after a quiet minute.
+  static std::unique_ptr<PeersWorld> settled(std::size_t count, std::uint64_t seed = 1,
+                                             std::function<void(peers::Settings&)> edit = {}) {
+    auto world = std::make_unique<PeersWorld>(0, seed, std::move(edit));
+    world->nodes_.resize(count);
+    std::vector<peers::News> all;
+    for (std::size_t i = 0; i < count; ++i)
+      all.push_back({name(i), address(i), i + 1, 1U << 20U, 0, peers::Liveness::alive, {}});
+    for (std::size_t i = 0; i < count; ++i) {
+      world->nodes_[i].disk = i + 1;
+      world->nodes_[i].kept = all;
+      world->start(i, false);
+    }
+    return world;
+  }
+
+  static std::string name(std::size_t i) { return "n" + std::to_string(i); }
+  static std::string address(std::size_t i) {
+    return "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":7";
+  }
+
+  void start(std::size_t i, bool empty_disk) {
+    Node& node = nodes_[i];
+    if (empty_disk) {
+      node.disk = random_() | 1U;
+      node.kept.clear();
+      node.life = 0;
+    }
+    ++node.life;
+    peers::Settings settings;
+    settings.cluster = "test";
+    settings.name = name(i);
+    settings.address = address(i);
+    for (std::size_t s = 0; s < std::min<std::size_t>(3, nodes_.size()); ++s)
+      settings.seeds.push_back(address(s));
+    if (edit_) edit_(settings);
+    node.state = std::make_unique<peers::State>(
+        std::move(settings), peers::Identity{node.disk, node.life << 20U, empty_disk, node.kept}, random_(),
+        now_);
+    node.stopped = false;
+    feed(i, peers::Due{});
+  }
+  void kill(std::size_t i) {
+    if (nodes_[i].state) nodes_[i].kept = nodes_[i].state->kept();
+    nodes_[i].state.reset();
+  }
+  void stop(std::size_t i) { nodes_[i].stopped = true; }
+  void resume(std::size_t i) {
+    Node& node = nodes_[i];
+    node.stopped = false;
+    feed(i, peers::Due{});
+    for (peers::Input& input : std::exchange(node.waiting, {})) feed(i, input);
+  }
+
+  void run(Time span) {
+    const Time end = now_ + span;
+    while (!events_.empty() && events_.top().at <= end) {
+      Event event = std::move(const_cast<Event&>(events_.top()));
+      events_.pop();
+      now_ = event.at;
+      Node& node = nodes_[event.node];
+      if (!node.state) continue;
+      if (!event.input) {
+        if (event.at != node.armed) continue;  // armed anew meanwhile
+        node.armed = Time{-1};
+        if (!node.stopped) feed(event.node, peers::Due{});
+      } else if (node.stopped) {
+        if (node.waiting.size() < 200) node.waiting.push_back(std::move(*event.input));
+      } else {
+        feed(event.node, *event.input);
+      }
+    }
+    now_ = end;
+  }
+  /// Until `done`, asked every `step`; how long it took, or none within `most`.
+  template <typename Done>
+  std::optional<Time> until(Done&& done, Time most, Time step = 20ms) {
+    for (Time passed{0}; passed <= most; passed += step) {
+      if (done()) return passed;
+      run(step);
+    }
+    return std::nullopt;
+  }
+
+  void feed(std::size_t i, const peers::Input& input) {
+    Node& node = nodes_[i];
+    for (peers::Effect& effect : node.state->take(now_, input)) {
+      if (auto* s = std::get_if<peers::Send>(&effect)) {
+        transmit(i, s->address, std::move(s->message), false);
+      } else if (auto* x = std::get_if<peers::Exchange>(&effect)) {
+        transmit(i, x->address, std::move(x->message), true);
+      } else if (auto* a = std::get_if<peers::Answer>(&effect)) {
+        transmit(i, address(a->stream - 1), std::move(a->message), true);
+      } else if (auto* l = std::get_if<peers::Log>(&effect)) {
+        if (logs) node.log += std::to_string(now_.count() / 1000) + " " + l->line + "\n";
+      }
+    }
+    const Time due = node.state->next_due();
+    if (due != node.armed && due != Time::max()) {
+      node.armed = std::max(due, now_);
+      events_.push({node.armed, order_++, i, std::nullopt});
+    }
+  }
+
+  [[nodiscard]] const peers::Member* seen(std::size_t by, std::size_t whom) const {
+    return nodes_[by].state->view().find(name(whom));
+  }
+  [[nodiscard]] bool believes(std::size_t by, std::size_t whom, peers::Liveness state) const {
+    const peers::Member* member = seen(by, whom);
+    return member != nullptr && member->news.state == state;
+  }
+  /// Whether all that run, and are not stopped, believe this of that one.
+  [[nodiscard]] bool all_believe(std::size_t whom, peers::Liveness state) const {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (i != whom && nodes_[i].state && !nodes_[i].stopped && !believes(i, whom, state)) return false;
+    }
+    return true;
+  }
+  [[nodiscard]] bool agreed() const {
+    std::optional<std::uint64_t> digest;
+    for (const Node& node : nodes_) {
+      if (!node.state) continue;
+      if (digest && *digest != node.state->view().digest()) return false;
+      digest = node.state->view().digest();
+    }
+    return true;
+  }
+  /// Members that run and that somebody believes dead.
+  [[nodiscard]] std::size_t wrongly_dead() const {
+    std::size_t wrong = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i].state) continue;
+      for (std::size_t by = 0; by < nodes_.size(); ++by) {
+        if (nodes_[by].state && believes(by, i, peers::Liveness::dead)) {
+          ++wrong;
+          break;
+        }
+      }
+    }
+    return wrong;
+  }
+  [[nodiscard]] std::uint64_t deaths_declared() const {
+    std::uint64_t all = 0;
+    for (const Node& node : nodes_) all += node.state ? node.state->counts().died : 0;
+    return all;
+  }
+
+  Node& node(std::size_t i) { return nodes_[i]; }
+  [[nodiscard]] std::size_t size() const { return nodes_.size(); }
+  [[nodiscard]] Time now() const { return now_; }
+
+  double loss = 0;
+  bool logs = true;
+  bool weigh = false;                                        ///< counts bytes as they are on the wire
+  std::function<bool(std::size_t, std::size_t)> cut;         ///< from, to
+  std::function<Time(std::size_t, std::size_t)> more_delay;  ///< from, to
+
+ private:
+  struct Event {
+    Time at{0};
+    std::uint64_t order = 0;
+    std::size_t node = 0;
+    std::optional<peers::Input> input;
+    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+
+  void transmit(std::size_t from, const std::string& to, peers::Message message, bool stream) {
+    Node& sender = nodes_[from];
+    ++sender.messages;
+    if (weigh) sender.bytes += peers::encode(message, "test").size() + 28;  // with IP and UDP
+    const std::size_t target = index(to);
+    if (target >= nodes_.size() || !nodes_[target].state) return;
+    if (cut && (cut(from, target) || (stream && cut(target, from)))) return;
+    if (!stream && loss > 0 && std::uniform_real_distribution<>(0, 1)(random_) < loss) return;
+    Time delay{std::uniform_int_distribution<int>(300, 3000)(random_)};
+    if (more_delay) delay += more_delay(from, target);
+    peers::Heard heard{std::move(message), stream ? from + 1 : 0};
+    events_.push({now_ + delay, order_++, target, std::move(heard)});
+  }
+  static std::size_t index(const std::string& address) {
+    const std::size_t third = address.find('.', 5), colon = address.find(':');
+    if (address.rfind("10.0.", 0) != 0) return SIZE_MAX;
+    return std::stoul(address.substr(5, third - 5)) * 250 +
+           std::stoul(address.substr(third + 1, colon - third - 1));
+  }
+
+  std::function<void(peers::Settings&)> edit_;
+  std::mt19937_64 random_;
+  Time now_{1h};
+  std::vector<Node> nodes_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace dahliahall::test
--- a/tests/virtual_stage.h
+++ b/tests/virtual_stage.h
@@ -140,6 +140,9 @@
   void perform(const edge::ArmTimer& e, std::vector<edge::Input>&) { due_ = std::max(e.at, Time{1}); }
   void perform(const edge::Yield&, std::vector<edge::Input>&) { yields_ = true; }
   void perform(const edge::Keep& e, std::vector<edge::Input>&) { kept_ = e.text; }
+  void perform(const edge::PeersEffect&, std::vector<edge::Input>&) {}
+  void perform(const edge::PeersKeep&, std::vector<edge::Input>&) {}
+  void perform(const edge::PeersStop&, std::vector<edge::Input>&) {}
   void perform(const edge::Log& e, std::vector<edge::Input>&) { log_ += e.line + "\n"; }
 
   Time now_{std::chrono::hours(500000)};
