Divide cold budgets among peers by shares that no cut makes exceed the whole

Cause: an incarnation raised within one life outranked the forgetting. Also new: half of a new fleet has to meet first, a new disk waits for one lease.

--- a/include/dahliahall/choice.h
+++ b/include/dahliahall/choice.h
@@ -194,11 +194,16 @@
 struct Withdrawn {
   std::string request;
 };
+/// Which part of its even share of a cold member's budget this router may use; more than 1 where others have stopped.
+struct Portion {
+  double of_parents = 1, of_caches = 1;
+};
 struct StreamStarted {
   std::string request;
   int attempt = 0;
 };
-using Event = std::variant<MemberList, Request, TimerFired, Outcome, Probed, Purge, Withdrawn, StreamStarted>;
+using Event = std::variant<MemberList, Request, TimerFired, Outcome, Probed, Purge, Withdrawn, StreamStarted,
+                           Portion>;
 
 // ---- Actions ----
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -384,6 +384,7 @@
     if (s_.weights == Weights::nominal || s_.weights == Weights::rough) {
       load = weight(p) / std::max(1, parent ? s_.routers : routers_here());
     }
+    load *= parent ? portion_.of_parents : portion_.of_caches;
     const double use = now_ - started_ < kReplacing ? kColdUseBeside : kColdUse;
     const double budget = use * multiple * (floor + (1 - floor) * age) * load * seconds(s_.fall_span);
     if (budget >= work) return p.sent.sum(now_, s_.fall_span) + work <= budget;
@@ -862,6 +863,8 @@
     drop_if_done(w.request);
   }
 
+  void on(const Portion& p) { portion_ = p; }
+
   void on(const StreamStarted& s) {
     const auto found = held_.find(s.request);
     if (found != held_.end()) found->second.streaming = true;
@@ -895,6 +898,7 @@
   }
 
   Settings s_;
+  Portion portion_;  // of its even share of what cold members bear
   std::uint64_t seed_;
   Time now_{0};
   Time started_{0};
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -116,7 +116,7 @@
   }
   read_own_settings(config, root.object("settings"));
   if (root.find("peers") != nullptr)
-    config.peers = read_peers(root.object("peers"), config.name, config.settings.zone, config.max_sockets);
+    config.peers = read_peers(root.object("peers"), config.name, config.settings.zone, config.settings.routers, config.max_sockets);
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> writer(text);
   root.need("settings").Accept(writer);
--- a/src/config/peers_config.cpp
+++ b/src/config/peers_config.cpp
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Peers read_peers(const Fields& section, const std::string& name, int zone, int sockets) {
+Peers read_peers(const Fields& section, const std::string& name, int zone, int members, int sockets) {
   Peers peers;
   peers::Settings& s = peers.settings;
   s.cluster = section.text("cluster");
@@ -78,6 +78,13 @@
   s.suspicion_least = span(section, "suspicion_least", s.suspicion_least);
   s.exchange_every = span(section, "exchange_every", s.exchange_every);
   s.seek_every = span(section, "seek_every", s.seek_every);
+  // Guards the lease against running out between two rounds of probes, at the largest size.
+  const Time rounds = 3 * s.probe_every * static_cast<int>(s.max_members);
+  s.share_lease = span(section, "share_lease", std::max(s.share_lease, rounds));
+  if (s.share_lease < std::chrono::seconds(2))
+    section.fail("share_lease", "should be 2000000 microseconds or more");
+  s.expected = static_cast<std::size_t>(
+      within(section, "expected", std::max(1, members), 1, static_cast<int>(s.max_members)));
   peers.streams = within(section, "streams", std::min(peers.streams, sockets / 8), 1, sockets / 8);
   peers.datagrams = within(section, "datagrams_per_s", peers.datagrams, 100, 1'000'000);
   return peers;
--- a/src/config/peers_config.h
+++ b/src/config/peers_config.h
@@ -19,8 +19,9 @@
   bool operator==(const Peers&) const = default;
 };
 
-/// Reads and checks the section. `name` and `zone`: the proxy's own; `sockets`: descriptors it may hold.
+/// Reads and checks the section. `name` and `zone`: the proxy's own; `members`: proxies of the fleet, as the
+/// settings tell; `sockets`: descriptors it may hold.
 /// Throws FieldError, which names the key.
-Peers read_peers(const Fields& section, const std::string& name, int zone, int sockets);
+Peers read_peers(const Fields& section, const std::string& name, int zone, int members, int sockets);
 
 }  // namespace dahliahall::config
--- a/src/edge/peering.cpp
+++ b/src/edge/peering.cpp
@@ -22,6 +22,7 @@
 
 void Peering::take(const peers::Input& input) {
   if (!state_) return;
+  asked_anew_ = true;
   const peers::Standing before = state_->view().standing();
   for (peers::Effect& effect : state_->take(context_.now, input))
     std::visit([this](auto& e) { pass_on(e); }, effect);
@@ -42,6 +43,19 @@
   return state_->next_due();
 }
 
+std::optional<Portion> Peering::changed_portion(int fleet, int here) {
+  if (!settings_ || (!asked_anew_ && context_.now < part_.until)) return std::nullopt;
+  asked_anew_ = false;
+  const limits::Shares::Part before = part_;
+  part_ = state_ ? state_->shares().part(context_.now) : limits::Shares::Part{0, 0, false, Time::max()};
+  if (part_.of_all == before.of_all && part_.of_zone == before.of_zone && told_) return std::nullopt;
+  told_ = true;
+  if (state_)
+    context_.log("peers share held=" + std::string(part_.held ? "1" : "0") +
+                 " of_all=" + std::to_string(part_.of_all) + " of_zone=" + std::to_string(part_.of_zone));
+  return Portion{part_.of_all * std::max(1, fleet), part_.of_zone * std::max(1, here)};
+}
+
 void Peering::stop() {
   if (!settings_) return;
   take(peers::StopAsked{});
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -20,6 +20,10 @@
   void take(const peers::Input& input);
   void run_due();
   [[nodiscard]] std::optional<Time> next_due() const;
+  /// The part of its even share that this proxy may use from now on, where that has changed: to be asked for
+  /// before anything is decided, since a lease may have run out meanwhile. `here`: proxies of this location,
+  /// by the settings.
+  std::optional<Portion> changed_portion(int fleet, int here);
   void stop();
 
   /// JSON for operators; none where there are no peers, or not yet.
@@ -41,6 +45,9 @@
   std::uint64_t seed_;
   std::optional<peers::State> state_;
   bool keep_ = false;
+  bool told_ = false;
+  bool asked_anew_ = true;  // the shares may have changed
+  limits::Shares::Part part_;
 };
 
 }  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -76,6 +76,7 @@
     const bool stood_still = now - context_.now >= kStandstill;
     if (stood_still) context_.log("stood still ms=" + std::to_string((now - context_.now).count() / 1000));
     context_.now = std::max(context_.now, now);
+    apply_portion();
     if (stood_still) {
       bulletin_.excuse();
       pool_.excuse();
@@ -85,6 +86,7 @@
     std::visit([this](const auto& in) { on(in); }, input);
     run_timers();
     peering_.run_due();
+    apply_portion();
     settle();
     stop_when_done();
     arm();
@@ -193,6 +195,16 @@
     settle();
   }
 
+  /// Guards the others' shares: one whose lease has run out, while it stood still or was cut off, uses no
+  /// more of it.
+  void apply_portion() {
+    const auto here = static_cast<std::size_t>(settings_.zone);
+    const auto& by_zone = settings_.routers_by_zone;
+    if (const auto portion = peering_.changed_portion(
+            settings_.routers, here < by_zone.size() ? by_zone[here] : settings_.routers))
+      tell(*portion);
+  }
+
   void on(const PeersReady& in) { peering_.ready(in.identity); }
   void on(const PeersInput& in) { peering_.take(in.input); }
 
--- /dev/null
+++ b/src/limits/shares.h
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// Which part of what all proxies share (the budget of a just-started cache or parent) this one may use,
+/// whatever is cut off from what: docs/peers.md, "Shares". No I/O, no clock.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dahliahall::limits {
+
+/// Invariant: the parts that all processes use at one moment, on all sides of any cut, never exceed the
+/// whole.
+///
+/// Each holds the whole over the number of members that it counts. A member uses its share only while it is
+/// *sure*: every member that it counts has said that it counts this one, from a list of the same names; so
+/// each of those that use a share is counted by all others that do. One that left in order has stopped, and
+/// is not counted any more. One that an operator forgot, or whose name another disk has now, is a *ghost*: it
+/// may still send on the other side of a cut, and is counted until its lease has run out on both sides. The
+/// holder stops when more than half of those it counts, all of them sure, have not renewed its lease within
+/// `lease` of its own clock; the others hand its share on only when half of all and every one that is
+/// registered have said that they renew it no more, `lease` and the drift of two clocks after the last of
+/// them did.
+class Shares {
+ public:
+  using Time = std::chrono::microseconds;
+
+  struct Settings {
+    std::string name;
+    Time lease{60'000'000};
+    double drift = 0.01;       ///< how much faster one clock may go than another, at most
+    double reserve = 0.1;      ///< part of the whole that those without a share divide
+    std::size_t expected = 1;  ///< members that a new fleet begins with: half of them have to be found first
+    std::size_t most = 1024;   ///< members that there may be, at most
+  };
+  struct Holder {
+    std::uint64_t disk = 0;
+    int zone = 0;
+    bool operator==(const Holder&) const = default;
+  };
+  using Roster = std::map<std::string, Holder>;  ///< registered members, itself too
+  struct Ghost {
+    std::string name;
+    Holder holder;
+    bool replaced =
+        false;  ///< another disk has the name: that one is not counted as well, but not sure until then
+    bool operator==(const Ghost&) const = default;
+  };
+  /// What a member has said in its answer to a ping of this one.
+  struct Acked {
+    std::string by;
+    Time sent{0};              ///< when the ping went
+    std::uint64_t told = 0;    ///< told() when it went, where all marks went with it; else 0
+    std::uint64_t counts = 0;  ///< the disk under which it counts this one; 0: it does not
+    std::uint64_t roster = 0;  ///< of the names that it counts
+    bool sure = false;
+  };
+  /// What may be used, as parts of the whole.
+  struct Part {
+    double of_all = 0;   ///< of what all members share
+    double of_zone = 0;  ///< of what those of its zone share
+    bool held = false;   ///< its share; else a little of the reserve
+    Time until{0};       ///< by its own clock: then it has to be asked for anew
+    bool operator==(const Part&) const = default;
+  };
+
+  /// `ghosts`: those that an earlier process with this disk knew of.
+  /// `not_before`: sure at that time at the earliest, of one with an empty disk: a lease after its start.
+  /// Guards against many whose disks are new at once, and who know nothing of one that is cut off from them.
+  Shares(Settings settings, Time not_before, const std::vector<Ghost>& ghosts);
+  /// A lease of the other side, by this side's clock.
+  static Time past(Time lease, double drift);
+
+  /// The registered members as they are now; `gone_in_order`: those of the ones missing that left in order.
+  /// `takes_part`: false while its own name is disputed, after it left or was forgotten.
+  void take(Time now, const Roster& roster, const std::set<std::string>& gone_in_order, bool takes_part);
+  void take(Time now, const Acked& acked);
+  /// It was forgotten, and joins anew: nobody is bound to count it.
+  void forgotten();
+
+  [[nodiscard]] Part part(Time now) const;
+  [[nodiscard]] bool sure() const { return sure_; }
+  /// The disk under which a member is counted, to be told to it; 0: not yet.
+  [[nodiscard]] std::uint64_t counts(const std::string& name) const;
+  [[nodiscard]] std::uint64_t names() const;  ///< of the names that are counted: alike for the same ones
+  /// Names of ghosts that others have to hear of, and the mark of what they then have heard.
+  [[nodiscard]] std::vector<std::string> marks() const;
+  [[nodiscard]] std::uint64_t told() const { return told_; }
+  [[nodiscard]] std::size_t ghosts() const { return ghosts_.size(); }
+
+ private:
+  struct Haunting {
+    Ghost ghost;
+    std::uint64_t number = 0;  // as told() counts
+    std::set<std::string> heard, heard_sure;
+    Time over{0};  // 0: not all have heard of it
+  };
+
+  void haunt(Ghost ghost);
+  void settle(Time now);
+  void drop(const std::string& name);
+  [[nodiscard]] std::size_t counted() const { return roster_.size() + unregistered_ghosts(); }
+  [[nodiscard]] std::size_t unregistered_ghosts() const;
+
+  Settings settings_;
+  Time not_before_;
+  Roster roster_;
+  bool sure_ = false, takes_part_ = true;
+  std::set<std::string> counted_by_;
+  std::map<std::string, Time> renewed_;  // when the ping went that a sure member answered last
+  std::vector<Haunting> ghosts_;
+  std::uint64_t told_ = 1;
+};
+
+}  // namespace dahliahall::limits
--- a/src/net/peer_store.cpp
+++ b/src/net/peer_store.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr std::size_t kMostKept = 16 * 1024 * 1024;
-constexpr unsigned kLifeBits = 20;  // refutations within one life of a process
 constexpr std::size_t kSumBytes = 8;
 
 std::string sum_of(std::string_view bytes) {
@@ -93,12 +92,12 @@
   peers::News mine = self;
   if (auto kept = read()) {
     identity.disk = kept->from.disk;
-    identity.incarnation = ((kept->from.incarnation >> kLifeBits) + 1) << kLifeBits;
+    identity.incarnation = ((kept->from.incarnation >> peers::kLifeBits) + 1) << peers::kLifeBits;
     identity.empty_disk = false;
     identity.known = std::move(kept->news);
   } else {
     identity.disk = new_mark();
-    identity.incarnation = std::uint64_t{1} << kLifeBits;
+    identity.incarnation = peers::kLife;
   }
   mine.disk = identity.disk;
   mine.incarnation = identity.incarnation;
--- a/src/peers/reducer.cpp
+++ b/src/peers/reducer.cpp
@@ -26,8 +26,19 @@
 constexpr double kExchangeMembers = 32;
 /// Part of the timeout after which one that pings for another says that nothing has come so far.
 constexpr double kNackAfter = 0.8;
-/// Raised at each start, so that refutations since the last write are below.
-constexpr std::uint64_t kLife = 1U << 20U;
+/// Of the budgets that all share: how much faster one clock may go than another, and the part kept for those
+/// that hold no share.
+constexpr double kDrift = 0.01;
+constexpr double kReserve = 0.1;
+
+/// Those that were forgotten may not have stopped by the time of a start.
+std::vector<limits::Shares::Ghost> ghosts_of(const std::vector<News>& known) {
+  std::vector<limits::Shares::Ghost> ghosts;
+  for (const News& news : known) {
+    if (news.state == Liveness::forgotten) ghosts.push_back({news.name, {news.disk, news.zone}, false});
+  }
+  return ghosts;
+}
 
 Time times(Time span, double factor) {
   return Time{static_cast<Time::rep>(static_cast<double>(span.count()) * factor)};
@@ -45,7 +56,11 @@
       next_probe_(now),
       next_gossip_(now),
       next_seek_(now),
-      next_exchange_(now) {
+      next_exchange_(now),
+      shares_({settings_.name, settings_.share_lease, kDrift, kReserve, settings_.expected,
+               settings_.max_members},
+              identity.empty_disk ? now + limits::Shares::past(settings_.share_lease, kDrift) : Time{0},
+              ghosts_of(identity.known)) {
   view_.take({settings_.name,
               settings_.address,
               identity.disk,
@@ -87,6 +102,7 @@
   }
   std::visit([this](const auto& in) { on(in); }, input);
   if (!left_) run_due();
+  if (recount_) count_members();
   return std::exchange(effects_, {});
 }
 
@@ -168,6 +184,8 @@
 void State::on(const StopAsked&) {
   if (left_) return;
   if (takes_part()) {
+    // Its share is given up before anybody hears that it may be handed on.
+    shares_.forgotten();
     News news = self();
     news.state = Liveness::left;
     view_.take(news, now_);
@@ -179,7 +197,7 @@
       for (int i = 0; i < 2; ++i) effects_.emplace_back(Send{address_of(name), m});
     }
   }
-  left_ = true;
+  left_ = recount_ = true;
   log("peers left");
   effects_.emplace_back(Keep{});
 }
@@ -194,7 +212,16 @@
 }
 
 void State::on_ping(const Message& m) {
-  send(m.from.name, message(Kind::ack, m.from.name, m.number), m.from.address);
+  if (recount_) count_members();
+  Message ack = message(Kind::ack, m.from.name, m.number);
+  const Member* sender = view_.find(m.from.name);
+  // Only the process that is the member here is counted: a double of its name, or one that was forgotten, is
+  // not.
+  if (sender != nullptr && sender->news.disk == m.from.disk && sender->news.incarnation == m.from.incarnation)
+    ack.counts = shares_.counts(m.from.name);
+  ack.names = shares_.names();
+  ack.sure = shares_.sure();
+  send(m.from.name, std::move(ack), m.from.address);
 }
 
 void State::on_ack(const Message& m) {
@@ -212,6 +239,7 @@
   if (probe.target == m.from.name && m.target.empty()) {
     if (Member* member = view_.find(probe.target)) set_way(*member, Way::direct);
     if (settings_.lifeguard) doubt(-1);
+    shares_.take(now_, limits::Shares::Acked{m.from.name, probe.sent, probe.told, m.counts, m.names, m.sure});
     probes_.erase(found);
   } else if (probe.target == m.target) {
     probe.relayed = true;
@@ -303,10 +331,14 @@
     if (member == nullptr || !reachable(member->news.state)) continue;
     const std::uint64_t number = ++number_;
     ++counts_.probes;
-    probes_[number] = {
-        name, Phase::direct, now_ + slow() * settings_.probe_timeout, now_ + slow() * settings_.probe_every,
-        0,    false};
-    send(name, message(Kind::ping, name, number));
+    Probe& probe = probes_[number];
+    probe.target = name;
+    probe.timeout = now_ + slow() * settings_.probe_timeout;
+    probe.end = now_ + slow() * settings_.probe_every;
+    probe.sent = now_;
+    Message ping = message(Kind::ping, name, number);
+    probe.told = add_marks(ping);
+    send(name, std::move(ping));
     return;
   }
 }
@@ -423,7 +455,10 @@
   }
   const bool registers = taken.first || taken.replaced || taken.moved ||
                          (taken.before && registered(*taken.before) != registered(news.state));
-  if (registers) effects_.emplace_back(Keep{});
+  if (registers) {
+    effects_.emplace_back(Keep{});
+    recount_ = true;
+  }
   if (taken.replaced)
     log("peer replaced name=" + news.name + " disk=" + std::to_string(news.disk) +
         " before=" + std::to_string(taken.replaced->disk) + ": what the one before held is gone");
@@ -440,7 +475,15 @@
 
 void State::merge_self(const News& news) {
   const News mine = self();
-  if (left_ || news.incarnation < mine.incarnation) return;
+  if (left_ || age_of(news) < age_of(mine)) return;
+  if (news.disk == mine.disk && !registered(news.state)) {
+    // It hears that it was forgotten, maybe of a time before it refuted something: it joins anew, in a life
+    // of its own, and nobody is bound by what was agreed with the one before.
+    log("peers forgotten by=" + news.by + ": joins again");
+    shares_.forgotten();
+    raise(std::max(news.incarnation, mine.incarnation) | (kLife - 1), Liveness::alive);
+    return;
+  }
   if (news.disk == mine.disk && news.incarnation == mine.incarnation) {
     if (news.state == mine.state) return;
     if (news.state == Liveness::alive) {
@@ -452,8 +495,7 @@
     }
     if (mine.state == Liveness::disputed) return;
     ++counts_.refuted;
-    if (settings_.lifeguard && news.state != Liveness::forgotten) doubt(1);
-    if (news.state == Liveness::forgotten) log("peers forgotten by=" + news.by + ": joins again");
+    if (settings_.lifeguard) doubt(1);
     log("peers refuted state=" + std::string(name_of(news.state)) + " by=" + news.by);
     raise(news.incarnation, Liveness::alive);
     return;
@@ -478,6 +520,7 @@
   mine.by = state == Liveness::disputed ? settings_.name : "";
   view_.take(mine, now_);
   queue_.add(mine);
+  recount_ = true;
   if (state == Liveness::disputed && before != state) {
     probes_.clear();
     log("peers disputed: another process uses the name " + settings_.name +
@@ -534,6 +577,33 @@
   exchange_with(m.from.name);
 }
 
+// ---- Shares ----
+
+/// Tells the shares who is registered.
+void State::count_members() {
+  recount_ = false;
+  limits::Shares::Roster roster;
+  std::set<std::string> in_order;
+  for (const auto& [name, member] : view_.members()) {
+    if (registered(member.news.state)) roster[name] = {member.news.disk, member.news.zone};
+    if (member.news.state == Liveness::left) in_order.insert(name);
+  }
+  shares_.take(now_, roster, in_order, takes_part());
+}
+
+/// What others have to hear of ghosts goes with the ping. 0: not all of it fits.
+std::uint64_t State::add_marks(Message& ping) const {
+  std::size_t room = settings_.datagram / 2;
+  for (const std::string& name : shares_.marks()) {
+    const Member* member = view_.find(name);
+    if (member == nullptr) continue;
+    if (size_of(member->news) > room) return 0;
+    room -= size_of(member->news);
+    ping.news.push_back(member->news);
+  }
+  return shares_.told();
+}
+
 // ---- Sending ----
 
 Message State::message(Kind kind, const std::string& to, std::uint64_t number) {
@@ -551,6 +621,7 @@
 /// longer that takes the shorter is the time left to do so.
 void State::send(const std::string& to, Message m, const std::string& address) {
   std::size_t room = settings_.datagram - std::min(settings_.datagram, head_size(m, settings_.cluster));
+  for (const News& news : m.news) room -= std::min(room, size_of(news));
   const Member* member = view_.find(to);
   if (member != nullptr && settings_.lifeguard && member->news.state != Liveness::alive &&
       size_of(member->news) <= room) {
--- a/src/peers/reducer.h
+++ b/src/peers/reducer.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "limits/shares.h"
 #include "peers/news_queue.h"
 #include "peers/settings.h"
 #include "peers/types.h"
@@ -92,6 +93,7 @@
   [[nodiscard]] const News& self() const { return view_.find(settings_.name)->news; }
   [[nodiscard]] const Settings& settings() const { return settings_; }
   [[nodiscard]] const Counts& counts() const { return counts_; }
+  [[nodiscard]] const limits::Shares& shares() const { return shares_; }
   /// How much it doubts itself: 0, not at all, to Settings::most_doubt.
   [[nodiscard]] int doubt() const { return doubt_; }
   /// Members that told another view than this one's last, and since when the first of them has.
@@ -109,6 +111,8 @@
     Time timeout{0}, end{0};
     int nacks_due = 0;
     bool relayed = false;  // an ack came by way of another
+    Time sent{0};
+    std::uint64_t told = 0;  // of the shares' marks
   };
   struct Favour {  // a ping sent for another
     std::string target, asker;
@@ -144,6 +148,8 @@
   void set_deadline(Member& member);
   void set_way(Member& member, Way way);
   void compare(const Message& message);
+  void count_members();
+  std::uint64_t add_marks(Message& message) const;
 
   Message message(Kind kind, const std::string& to, std::uint64_t number);
   void send(const std::string& to, Message message, const std::string& address = {});
@@ -175,6 +181,8 @@
   Time next_probe_, next_gossip_, next_seek_, next_exchange_;
   Time exchanged_{0};
   Time refusal_told_{-10'000'000};
+  limits::Shares shares_;
+  bool recount_ = true;  // who is registered has changed
   std::vector<Effect> effects_;
 };
 
--- a/src/peers/report.cpp
+++ b/src/peers/report.cpp
@@ -67,6 +67,17 @@
   put(out, "doubt", static_cast<std::uint64_t>(state.doubt()));
   put(out, "digest", std::to_string(view.digest()));
   put(out, "differing", differing);
+  const limits::Shares::Part part = state.shares().part(now);
+  out.Key("share");
+  out.StartObject();
+  out.Key("held");
+  out.Bool(part.held);
+  out.Key("of_all");
+  out.Double(part.of_all);
+  out.Key("of_zone");
+  out.Double(part.of_zone);
+  put(out, "ghosts", state.shares().ghosts());
+  out.EndObject();
   if (differing > 0) put_ago(out, "differing_ms", now, since);
   std::vector<const Member*> members;
   for (const auto& [name, member] : view.members()) members.push_back(&member);
@@ -91,6 +102,9 @@
       {"differing", differing},
       {"differing_ms", static_cast<std::uint64_t>(std::max<Time::rep>(0, (now - since).count()) / 1000)},
       {"entries", state.entries()},
+      {"share_ppm", static_cast<std::uint64_t>(state.shares().part(now).of_all * 1e6)},
+      {"share_held", state.shares().part(now).held ? 1U : 0U},
+      {"ghosts", state.shares().ghosts()},
       {"probes", counts.probes, true},
       {"unanswered", counts.unanswered, true},
       {"suspected", counts.suspected, true},
--- a/src/peers/settings.h
+++ b/src/peers/settings.h
@@ -35,6 +35,8 @@
   int most_doubt = 8;               ///< of itself: probes slow down up to this many times more
   Time exchange_every{30'000'000};  ///< for 32 members; longer in proportion for more
   Time seek_every{1'000'000};       ///< one that is not reached is asked whether it is back
+  Time share_lease{60'000'000};     ///< limits/shares.h
+  std::size_t expected = 1;         ///< members that a new fleet begins with
   bool lifeguard = true;            ///< false only to measure what the refinements bring
   bool operator==(const Settings&) const = default;
 };
--- a/src/peers/types.h
+++ b/src/peers/types.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace dahliahall::peers {
@@ -34,8 +35,6 @@
 }
 constexpr bool reachable(Liveness state) { return state == Liveness::alive || state == Liveness::suspect; }
 
-/// One item of news on a member. Newer is the one with the higher incarnation; at the same one, the state
-/// that comes later in Liveness.
 struct News {
   std::string name;
   std::string address;            ///< host:port, of its datagrams and of its stream
@@ -47,6 +46,18 @@
   bool operator==(const News&) const = default;
 };
 
+/// The incarnation counts the member's lives (its starts, and its joining anew once it was forgotten) above
+/// these bits, and what it refuted within one below them.
+constexpr unsigned kLifeBits = 20;
+constexpr std::uint64_t kLife = std::uint64_t{1} << kLifeBits;
+
+/// Newer news has the greater age: a later life; within one, that the member has gone for good, which nothing
+/// that it said before it heard so undoes; then the higher incarnation. At the same one, the state that comes
+/// later in Liveness.
+inline std::tuple<std::uint64_t, bool, std::uint64_t> age_of(const News& news) {
+  return {news.incarnation >> kLifeBits, !registered(news.state), news.incarnation};
+}
+
 enum class Kind : std::uint8_t {
   ping,
   ack,     ///< to a ping, from its target; `number` is the ping's
@@ -66,6 +77,10 @@
   std::uint64_t digest = 0;            ///< of the sender's view
   std::string target, target_address;  ///< of ask; an ack that is passed on names who acked as `target`
   std::vector<News> news;
+  // Of acks, for the shares of what all use (limits/shares.h).
+  std::uint64_t counts = 0;  ///< the disk under which the receiver is counted; 0: it is not
+  std::uint64_t names = 0;   ///< of the names that the sender counts
+  bool sure = false;         ///< the sender is counted by all
 };
 
 }  // namespace dahliahall::peers
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -65,8 +65,8 @@
   }
   Member& member = found->second;
   const News before = member.news;
-  if (news.incarnation < before.incarnation) return taken;
-  if (news.incarnation == before.incarnation) {
+  if (age_of(news) < age_of(before)) return taken;
+  if (age_of(news) == age_of(before)) {
     // Guards against two processes of one name that came to the same number at once: the greater disk stands
     // here as everywhere, and the other one is told by what comes back.
     if (news.disk != before.disk && news.disk < before.disk) return taken;
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t kVersion = 1;
 constexpr std::uint32_t kMostZones = 4096;
-constexpr std::size_t kFixed = 48;  // bytes of an item's tags, lengths and numbers, at most
+constexpr std::size_t kFixed = 72;  // bytes of an item's tags, lengths and numbers, at most
 
 void write(const News& news, wire::Member& out) {
   out.set_name(news.name);
@@ -94,6 +94,9 @@
   packet.set_target(message.target);
   packet.set_target_address(message.target_address);
   for (const News& news : message.news) write(news, *packet.add_news());
+  packet.set_counts(message.counts);
+  packet.set_names(message.names);
+  packet.set_sure(message.sure);
   return packet.SerializeAsString();
 }
 
@@ -118,6 +121,9 @@
   message.digest = packet.digest();
   message.target = packet.target();
   message.target_address = packet.target_address();
+  message.counts = packet.counts();
+  message.names = packet.names();
+  message.sure = packet.sure();
   message.news.resize(static_cast<std::size_t>(packet.news_size()));
   for (int i = 0; i < packet.news_size(); ++i) {
     if (!read(packet.news(i), message.news[static_cast<std::size_t>(i)])) return Refusal::bad_field;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -433,6 +433,29 @@
   EXPECT_GT(sent_in_2s(), 2.0);
 }
 
+TEST(ColdMembers, APortionOfItsShareIsAllThatARouterUses) {
+  // Guards the others' shares: one whose lease has run out keeps to the little that is left to it at once.
+  const auto sent_in_2s = [](double part) {
+    Settings s = settings();
+    s.weights = Weights::nominal;
+    Member cold = member("cache-a", 0, 2, 1000s);
+    cold.weight = 4;
+    World world(s, {cold, member("origin", 2, 0)});
+    world.pass(5s);
+    world.feed(Portion{1, part});
+    std::size_t sent = 0;
+    for (std::uint64_t i = 0; i < 200; ++i) {
+      sent += world.serve(i).member == "cache-a" ? 1 : 0;
+      world.pass(10ms);
+    }
+    return sent;
+  };
+  const std::size_t whole = sent_in_2s(1), half = sent_in_2s(0.5);
+  EXPECT_GT(half, 0U);
+  EXPECT_LE(half, whole * 6 / 10);
+  EXPECT_EQ(sent_in_2s(0), 0U);
+}
+
 TEST(ColdMembers, ABudgetOfLessThanARequestIsStretchedInTime) {
   // Found by reckoning for hundreds of routers: each one's part stayed under one request until the cache
   // counted as warm by age, and then all sent at once.
--- a/tests/fleet/peers_fleet_test.cpp
+++ b/tests/fleet/peers_fleet_test.cpp
@@ -220,6 +220,37 @@
   EXPECT_EQ(fleet.view(1)->registered, 4U);
 }
 
+TEST_F(Peering, SharesOutliveACutAndAreHandedOnOnlyFromThoseThatStopped) {
+  Fleet::Options options;
+  options.more = R"(,"share_lease":3000000,"max_members":8,"expected":5)";
+  Fleet fleet(5, options);
+  settle(fleet);
+  const auto holds = [&fleet](std::size_t i, std::uint64_t of) {  // 1 / of, less the reserve
+    return fleet.figure(i, "share_held") == 1 && fleet.figure(i, "share_ppm") == 900'000 / of;
+  };
+  const auto all_hold = [&](std::uint64_t of) {
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      if (fleet.runs(i) && !holds(i, of)) return false;
+    }
+    return true;
+  };
+  fleet.expect("each holds a fifth", 20s, [&] { return all_hold(5); });
+  fleet.split(2, true);
+  fleet.expect("the smaller side's leases run out, the larger side keeps its fifths", kKnown, [&] {
+    return fleet.figure(0, "share_held") == 0 && fleet.figure(1, "share_held") == 0 && holds(2, 5) &&
+           holds(3, 5) && holds(4, 5);
+  });
+  fleet.split(2, false);
+  fleet.expect("each holds a fifth again", kHealed, [&] { return all_hold(5); });
+  fleet.terminate(4);
+  fleet.expect("one that left in order has handed its share on", kHealed, [&] { return all_hold(4); });
+  fleet.kill(3);
+  fleet.expect("its death is known to all", kKnown, [&] { return fleet.all_tell(3, "dead"); });
+  EXPECT_TRUE(all_hold(4)) << "it may still send on the other side of a cut\n" << fleet.story();
+  fleet.call(0, "POST", "/v1/peers/edge-3/forget");
+  fleet.expect("forgotten, and a lease later handed on", kHealed, [&] { return all_hold(3); });
+}
+
 TEST(PeeringBesideClients, NoRequestIsLostUnderAFloodOfBrokenDatagrams) {
   static std::string section;
   const int port = free_port();
--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -52,11 +52,19 @@
 }  // namespace
 
 int free_port() {
-  const auto [datagrams, streams] = both();
-  const int port = port_of(streams);
-  close(datagrams);
-  close(streams);
-  return port;
+  // Below those that the system hands out by itself: guards against one that something else is given between
+  // this look and the start of the process that it is for.
+  constexpr int kFirst = 12'000, kMany = 19'000;
+  static int next = static_cast<int>(getpid() * 97 % kMany);
+  for (int tries = 0; tries < kMany; ++tries) {
+    next = (next + 1) % kMany;
+    const int streams = bound(SOCK_STREAM, kFirst + next), datagrams = bound(SOCK_DGRAM, kFirst + next);
+    for (const int fd : {streams, datagrams}) {
+      if (fd >= 0) close(fd);
+    }
+    if (streams >= 0 && datagrams >= 0) return kFirst + next;
+  }
+  throw std::runtime_error("no port is free");
 }
 
 Relays::Relays(std::uint64_t seed) : random_(seed), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
--- a/tests/peers_world.h
+++ b/tests/peers_world.h
@@ -29,6 +29,7 @@
     std::string log;
     std::uint64_t bytes = 0, messages = 0;  // sent
     Time armed{-1};
+    double pace = 1;  // of its clock
   };
 
   explicit PeersWorld(std::size_t count, std::uint64_t seed = 1,
@@ -92,6 +93,9 @@
   }
 
   void run(Time span) {
+    if (drift > 0 && now_ == kBegan) {
+      for (Node& node : nodes_) node.pace = std::uniform_real_distribution<>(1 - drift, 1 + drift)(random_);
+    }
     const Time end = now_ + span;
     while (!events_.empty() && events_.top().at <= end) {
       Event event = std::move(const_cast<Event&>(events_.top()));
@@ -123,7 +127,7 @@
 
   void feed(std::size_t i, const peers::Input& input) {
     Node& node = nodes_[i];
-    for (peers::Effect& effect : node.state->take(now_, input)) {
+    for (peers::Effect& effect : node.state->take(local(i), input)) {
       if (auto* s = std::get_if<peers::Send>(&effect)) {
         transmit(i, s->address, std::move(s->message), false);
       } else if (auto* x = std::get_if<peers::Exchange>(&effect)) {
@@ -135,12 +139,20 @@
       }
     }
     const Time due = node.state->next_due();
-    if (due != node.armed && due != Time::max()) {
-      node.armed = std::max(due, now_);
+    if (due == Time::max()) return;
+    const double ahead = static_cast<double>((due - kBegan).count()) / node.pace;
+    const Time wanted = std::max(kBegan + Time{static_cast<Time::rep>(ahead) + 1}, now_);
+    if (wanted != node.armed) {
+      node.armed = wanted;
       events_.push({node.armed, order_++, i, std::nullopt});
     }
   }
 
+  /// What that member's own clock shows.
+  [[nodiscard]] Time local(std::size_t i) const {
+    return kBegan +
+           Time{static_cast<Time::rep>(static_cast<double>((now_ - kBegan).count()) * nodes_[i].pace)};
+  }
   [[nodiscard]] const peers::Member* seen(std::size_t by, std::size_t whom) const {
     return nodes_[by].state->view().find(name(whom));
   }
@@ -189,6 +201,7 @@
   [[nodiscard]] Time now() const { return now_; }
 
   double loss = 0;
+  double drift = 0;  ///< clocks go this much faster or slower, at most; set before any time has passed
   bool logs = true;
   bool weigh = false;                                        ///< counts bytes as they are on the wire
   std::function<bool(std::size_t, std::size_t)> cut;         ///< from, to
@@ -225,7 +238,8 @@
 
   std::function<void(peers::Settings&)> edit_;
   std::mt19937_64 random_;
-  Time now_{1h};
+  static constexpr Time kBegan{1h};
+  Time now_ = kBegan;
   std::vector<Node> nodes_;
   std::priority_queue<Event> events_;
   std::uint64_t order_ = 0;
--- /dev/null
+++ b/tests/shares_test.cpp
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: MIT
+// The shares of what all use: in virtual time over the peers' reducers, with cuts, kills, empty disks,
+// leaves, words of operators that are right and wrong, and clocks that go unlike.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "peers_world.h"
+
+namespace dahliahall::test {
+namespace {
+
+using limits::Shares;
+using peers::Liveness;
+
+constexpr auto kLease = 6s;
+
+std::unique_ptr<PeersWorld> sharing(std::size_t count, std::uint64_t seed = 1) {
+  auto world = PeersWorld::settled(count, seed, [count](peers::Settings& settings) {
+    settings.share_lease = kLease;
+    settings.expected = count;
+    settings.max_members = 64;
+  });
+  world->drift = 0.004;
+  return world;
+}
+
+/// The sum of the parts that all processes that run may use now.
+double used(PeersWorld& world) {
+  double sum = 0;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    if (world.node(i).state && !world.node(i).stopped)
+      sum += world.node(i).state->shares().part(world.local(i)).of_all;
+  }
+  return sum;
+}
+
+bool all_hold(PeersWorld& world, double part) {
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    if (!world.node(i).state) continue;
+    const Shares::Part held = world.node(i).state->shares().part(world.local(i));
+    if (!held.held || std::abs(held.of_all - part) > 1e-9) return false;
+  }
+  return true;
+}
+
+TEST(Shares, EachOfFiveHoldsAFifthAndKeepsItWhileOneIsMissing) {
+  const auto world = sharing(5);
+  EXPECT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->kill(4);
+  world->run(60s);
+  EXPECT_TRUE(all_hold(*world, 0.9 / 5)) << "it may still send on the other side of a cut";
+}
+
+TEST(Shares, OneThatLeftInOrderHandsItsShareOnAtOnce) {
+  const auto world = sharing(5);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->feed(4, peers::StopAsked{});
+  EXPECT_LT(world->node(4).state->shares().part(world->local(4)).of_all, 0.01)
+      << "before anybody hears of it";
+  world->kill(4);
+  EXPECT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 4); }, 2s));
+}
+
+TEST(Shares, AForgottenOneIsHandedOnOnlyAfterItsLease) {
+  const auto world = sharing(5);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->kill(4);
+  ASSERT_TRUE(world->until([&] { return world->believes(0, 4, Liveness::dead); }, 10s));
+  world->feed(0, peers::Forget{"n4"});
+  world->run(kLease - 100ms);
+  EXPECT_TRUE(all_hold(*world, 0.9 / 5)) << "not before";
+  EXPECT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 4); }, 10s));
+}
+
+TEST(Shares, TheSmallerSideOfACutStopsWhenItsLeaseRunsOut) {
+  const auto world = sharing(5);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->cut = [](std::size_t a, std::size_t b) { return (a < 2) != (b < 2); };
+  world->run(kLease);
+  EXPECT_FALSE(world->node(0).state->shares().part(world->local(0)).held);
+  EXPECT_TRUE(world->node(4).state->shares().part(world->local(4)).held);
+  world->cut = nullptr;
+  EXPECT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 30s));
+}
+
+TEST(Shares, ASmallerSideThatForgetsTheLargerGainsNothing) {
+  const auto world = sharing(5);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->cut = [](std::size_t a, std::size_t b) { return (a < 2) != (b < 2); };
+  ASSERT_TRUE(world->until(
+      [&] {
+        return world->believes(0, 4, Liveness::dead) && world->believes(0, 3, Liveness::dead) &&
+               world->believes(0, 2, Liveness::dead);
+      },
+      20s));
+  for (const char* name : {"n2", "n3", "n4"}) world->feed(0, peers::Forget{name});
+  for (int i = 0; i < 200; ++i) {
+    world->run(200ms);
+    ASSERT_LE(used(*world), 1.0) << world->now().count();
+  }
+}
+
+TEST(Shares, WhateverTheCutTheSumNeverExceedsTheWhole) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::size_t count = 3 + random() % 5;
+    const auto world = sharing(count, seed);
+    world->loss = 0.05 * static_cast<double>(random() % 3);
+    std::string story = "seed " + std::to_string(seed) + "\n";
+    ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / static_cast<double>(count)); }, 30s)) << story;
+    for (int turn = 0; turn < 40; ++turn) {
+      const std::size_t whom = random() % count, by = random() % count;
+      auto& node = world->node(whom);
+      switch (random() % 9) {
+        case 0:
+        case 1: {
+          const std::size_t first = 1 + random() % (count - 1);
+          const bool one_way = random() % 3 == 0;
+          world->cut = [first, one_way](std::size_t a, std::size_t b) {
+            return one_way ? a < first && b >= first : (a < first) != (b < first);
+          };
+          story += "cut " + std::to_string(first) + (one_way ? " one way\n" : "\n");
+          break;
+        }
+        case 2:
+          world->cut = nullptr;
+          story += "heal\n";
+          break;
+        case 3:
+          if (node.state) world->kill(whom);
+          story += "kill " + std::to_string(whom) + "\n";
+          break;
+        case 4:
+          if (!node.state) world->start(whom, random() % 3 == 0);
+          story += "start " + std::to_string(whom) + "\n";
+          break;
+        case 5:
+          if (node.state && !node.stopped && random() % 2 == 0) {
+            world->feed(whom, peers::StopAsked{});
+            world->run(50ms);
+            world->kill(whom);
+            story += "leave " + std::to_string(whom) + "\n";
+          }
+          break;
+        case 6:
+          if (world->node(by).state && !world->node(by).stopped)
+            world->feed(by, peers::Forget{PeersWorld::name(whom)});
+          story += std::to_string(by) + " forgets " + std::to_string(whom) + "\n";
+          break;
+        case 7:
+          if (node.state && !node.stopped) world->stop(whom);
+          story += "stop " + std::to_string(whom) + "\n";
+          break;
+        default:
+          for (std::size_t i = 0; i < count; ++i) {
+            if (world->node(i).state && world->node(i).stopped) world->resume(i);
+          }
+          story += "resume\n";
+      }
+      const auto span = std::chrono::milliseconds(200 + random() % 9000);
+      for (auto passed = 0ms; passed < span; passed += 100ms) {
+        world->run(100ms);
+        ASSERT_LE(used(*world), 1.0 + 1e-9) << story;
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dahliahall::test
