--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -101,6 +101,25 @@
   }
 }
 
+TEST(Shares, AForgottenOneIsBoundByThatWhateverItRefutedMeanwhile) {
+  // Found by a drawn play: it had refuted a suspicion that its forgetters never heard, came back to one of
+  // them as if it had never been forgotten, and kept its share, which the other had handed on by then.
+  const auto world = sharing(3);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 3); }, 20s));
+  world->cut = [](std::size_t a, std::size_t b) { return a == 0 && b != 0; };  // it hears, and is not heard
+  ASSERT_TRUE(world->until([&] { return world->believes(2, 0, Liveness::dead); }, 20s));
+  EXPECT_GT(world->node(0).state->counts().refuted, 0U);
+  world->feed(2, peers::Forget{"n0"});
+  ASSERT_TRUE(world->until([&] { return world->believes(1, 0, Liveness::forgotten); }, 5s));
+  world->run(1s);
+  world->cut = [](std::size_t a, std::size_t b) { return (a == 2) != (b == 2); };  // 0 and 1 meet again
+  for (int i = 0; i < 200; ++i) {
+    world->run(100ms);
+    ASSERT_LE(used(*world), 1.0 + 1e-9) << i;
+  }
+  EXPECT_NE(world->node(0).log.find("peers forgotten"), std::string::npos);
+}
+
 TEST(Shares, WhateverTheCutTheSumNeverExceedsTheWhole) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 random(seed);
@@ -108,7 +127,8 @@
     const auto world = sharing(count, seed);
     world->loss = 0.05 * static_cast<double>(random() % 3);
     std::string story = "seed " + std::to_string(seed) + "\n";
-    ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / static_cast<double>(count)); }, 30s)) << story;
+    ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / static_cast<double>(count)); }, 30s))
+        << story;
     for (int turn = 0; turn < 40; ++turn) {
       const std::size_t whom = random() % count, by = random() % count;
       auto& node = world->node(whom);
