--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -1,10 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "fleet.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <rapidjson/document.h>
 #include <sys/socket.h>
@@ -17,6 +15,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "loopback.h"
 #include "scenario.h"
 
 namespace dahliahall::test {
@@ -27,14 +26,6 @@
 
 std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 
-sockaddr_in loopback(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 }  // namespace
 
 Fleet::Fleet(std::size_t count, Options options) : options_(std::move(options)), relays_(options_.seed) {
--- a/tests/fleet/peers_fleet_test.cpp
+++ b/tests/fleet/peers_fleet_test.cpp
@@ -1,9 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Several processes that know each other, with faults of them and between them. Bounds are several times what
 // a busy machine was seen to need (docs/peers.md).
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,6 +15,7 @@
 #include <thread>
 
 #include "fleet.h"
+#include "loopback.h"
 #include "started_program.h"
 
 namespace dahliahall::test {
@@ -324,10 +323,7 @@
     for (unsigned thrower = 0; thrower < 3; ++thrower) {
       floods.emplace_back([&over, port, thrower] {
         const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(static_cast<std::uint16_t>(port));
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const sockaddr_in to = loopback(port);
         std::mt19937 random(thrower);
         std::string bytes(200, '\0');
         for (char& c : bytes) c = static_cast<char>(random());
--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "relay.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,19 +8,13 @@
 #include <array>
 #include <stdexcept>
 
+#include "loopback.h"
+
 namespace dahliahall::test {
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
-sockaddr_in loopback(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 int bound(int type, int port) {
   const int fd = socket(AF_INET, type | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const sockaddr_in address = loopback(port);
--- a/tests/started_program.cpp
+++ b/tests/started_program.cpp
@@ -1,10 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "started_program.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -18,19 +16,13 @@
 #include <fstream>
 #include <utility>
 
+#include "loopback.h"
+
 namespace dahliahall::test {
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
-sockaddr_in loopback(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 int bound_socket(int& port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
