Drop an unused variable from the peers' link

Need: the last reading of the membership code left it. Change: one line of src/net/peer_link.cpp, no behaviour.

--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -165,7 +165,6 @@
 // ---- Streams ----
 
 void PeerLink::accept() {
-  const ObjectPtr<GSocket> none;
   while (listener_) {
     ObjectPtr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, nullptr));
     if (!socket) return;
