Test the last two guards of the shares: new disks wait, all have to count

Need: two guards of src/limits/shares had not been taken out, and no test failed without them. Change: two plays in virtual time, each made for its guard: two new disks beside one that is cut off, and four that come back while three hear nothing of them. Checked: NewDisksWait... fails with not_before_ passed over, AsManyThatComeBack... with the count of all passed over; both pass as the code stands, in all nine Shares tests.

--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -120,6 +120,39 @@
   EXPECT_NE(world->node(0).log.find("peers forgotten"), std::string::npos);
 }
 
+TEST(Shares, NewDisksWaitForTheLeaseOfOneThatTheyNeverMet) {
+  const auto world = sharing(3);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 3); }, 20s));
+  world->cut = [](std::size_t a, std::size_t b) { return (a == 0) != (b == 0); };
+  for (const std::size_t i : {1U, 2U}) world->kill(i);
+  for (const std::size_t i : {1U, 2U}) world->start(i, true);
+  for (int i = 0; i < 200; ++i) {
+    world->run(100ms);
+    ASSERT_LE(used(*world), 1.0 + 1e-9) << i;
+  }
+  EXPECT_TRUE(world->node(1).state->shares().part(world->local(1)).held) << "the lease has run out since";
+}
+
+TEST(Shares, AsManyThatComeBackAreNotSureBeforeAllCountThem) {
+  const auto world = sharing(8);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 8); }, 20s));
+  for (std::size_t i = 4; i < 8; ++i) {
+    world->feed(i, peers::StopAsked{});
+    world->run(50ms);
+    world->kill(i);
+  }
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 4); }, 20s));
+  // Three go on with a quarter each and hear nothing of those that come back beside the fourth.
+  world->cut = [](std::size_t a, std::size_t b) { return (a >= 1 && a <= 3) != (b >= 1 && b <= 3); };
+  for (std::size_t i = 4; i < 8; ++i) world->start(i, false);
+  for (int i = 0; i < 200; ++i) {
+    world->run(100ms);
+    ASSERT_LE(used(*world), 1.0 + 1e-9) << i;
+  }
+  world->cut = nullptr;
+  EXPECT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 8); }, 30s));
+}
+
 TEST(Shares, WhateverTheCutTheSumNeverExceedsTheWhole) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 random(seed);
