--- /dev/null
+++ b/src/agreed/register.cpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: MIT
+#include "agreed/register.h"
+
+#include <algorithm>
+
+namespace dahliahall::agreed {
+namespace {
+
+constexpr std::size_t kOutcomes = 64;
+
+}  // namespace
+
+Register::Register(Whole whole)
+    : index_(whole.index),
+      epoch_(whole.epoch),
+      key_(std::move(whole.key)),
+      policy_(std::move(whole.policy)),
+      outcomes_(whole.outcomes.begin(), whole.outcomes.end()) {
+  if (!whole.change.empty()) change_ = std::move(whole.change.front());
+}
+
+Whole Register::whole() const {
+  Whole whole{index_, epoch_, key_, policy_, {}, {outcomes_.begin(), outcomes_.end()}};
+  if (change_) whole.change.push_back(*change_);
+  return whole;
+}
+
+void Register::apply(Index index, const Entry& entry) {
+  if (index <= index_) return;
+  index_ = index;
+  const bool its = change_ && change_->id == entry.change;
+  switch (entry.step) {
+    case Step::propose:
+      // Guards against a call that was repeated, or forwarded twice: one key is one change.
+      if (knows(entry.key)) return;
+      if (change_ || entry.base != epoch_) {
+        outcomes_.push_back({entry.key, Fate::refused, epoch_,
+                             change_ ? "another change is under way: " + change_->key
+                                     : "builds on " + std::to_string(entry.base)});
+        break;
+      }
+      change_ = Change{index, epoch_ + 1, entry.key, entry.policy, false};
+      return;
+    case Step::commit:
+      if (its) change_->committed = true;
+      return;
+    case Step::activate:
+      if (!its || !change_->committed) return;
+      epoch_ = change_->epoch;
+      key_ = change_->key;
+      policy_ = change_->policy;
+      end(Fate::active, "");
+      break;
+    case Step::abort:
+      // Guards what all have prepared: once committed, a change is not taken back.
+      if (!its || change_->committed) return;
+      end(Fate::aborted, entry.reason);
+      break;
+  }
+  // Guards the memory against callers without end: what became of old changes is dropped.
+  if (outcomes_.size() > kOutcomes) outcomes_.pop_front();
+}
+
+void Register::end(Fate fate, std::string reason) {
+  outcomes_.push_back({change_->key, fate, epoch_, std::move(reason)});
+  change_.reset();
+}
+
+const Outcome* Register::outcome(const std::string& key) const {
+  const auto found =
+      std::find_if(outcomes_.begin(), outcomes_.end(), [&key](const Outcome& o) { return o.key == key; });
+  return found == outcomes_.end() ? nullptr : &*found;
+}
+
+bool Register::knows(const std::string& key) const {
+  return (change_ && change_->key == key) || outcome(key) != nullptr;
+}
+
+}  // namespace dahliahall::agreed
--- /dev/null
+++ b/src/agreed/register.h
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What the log has come to: the active policy, the change under way, what became of earlier ones. Alike on
+/// all proxies that have applied the same entries. No I/O, no clock.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "agreed/types.h"
+
+namespace dahliahall::agreed {
+
+class Register {
+ public:
+  Register() = default;
+  explicit Register(Whole whole);
+
+  /// Entries in the order of the log; what is not above index() is passed over.
+  void apply(Index index, const Entry& entry);
+  /// The log has come that far without an entry of this kind.
+  void pass(Index index) { index_ = std::max(index_, index); }
+
+  [[nodiscard]] Index index() const { return index_; }
+  [[nodiscard]] Epoch epoch() const { return epoch_; }
+  [[nodiscard]] const std::string& key() const { return key_; }
+  [[nodiscard]] const std::string& policy() const { return policy_; }
+  [[nodiscard]] const std::optional<Change>& change() const { return change_; }
+  /// What became of the change with that key; none: it is under way, was never heard of, or is too long ago.
+  [[nodiscard]] const Outcome* outcome(const std::string& key) const;
+  [[nodiscard]] bool knows(const std::string& key) const;
+  [[nodiscard]] Whole whole() const;
+
+ private:
+  void end(Fate fate, std::string reason);
+
+  Index index_ = 0;
+  Epoch epoch_ = 0;
+  std::string key_, policy_;
+  std::optional<Change> change_;
+  std::deque<Outcome> outcomes_;  // newest last
+};
+
+}  // namespace dahliahall::agreed
--- /dev/null
+++ b/src/agreed/types.h
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What edge proxies agree on, and what they tell each other on the way (docs/agreed.md). Plain values.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace dahliahall::agreed {
+
+/// Monotonic time of this process; never compared with another process's.
+using Time = std::chrono::microseconds;
+/// Counts the policies that were ever active. 0: none yet, the configuration alone holds.
+using Epoch = std::uint64_t;
+/// A place in the log. A change is named by the place of its proposal.
+using Index = std::uint64_t;
+using Term = std::uint64_t;
+
+// ---- The log ----
+
+enum class Step : std::uint8_t {
+  propose,
+  commit,    ///< all reachable members can run it: from here on it is not to be aborted
+  activate,  ///< nobody decides under the epoch before any more
+  abort
+};
+constexpr std::size_t kSteps = 4;
+
+struct Entry {
+  Step step = Step::propose;
+  Index change = 0;  ///< of all but propose
+  std::string key;   ///< of propose: the operator's own name of the change
+  Epoch base = 0;    ///< of propose: the epoch that it builds on
+  std::string policy;
+  std::string reason;  ///< of abort: which member, what and why
+  auto operator<=>(const Entry&) const = default;
+};
+
+struct Change {
+  Index id = 0;
+  Epoch epoch = 0;  ///< the one that it leads to
+  std::string key, policy;
+  bool committed = false;
+  auto operator<=>(const Change&) const = default;
+};
+
+enum class Fate : std::uint8_t {
+  active,
+  aborted,
+  refused  ///< it built on another epoch than the active one, or another change was under way
+};
+constexpr std::size_t kFates = 3;
+/// What became of a change, for good.
+struct Outcome {
+  std::string key;
+  Fate fate = Fate::active;
+  Epoch epoch = 0;  ///< the active one, once that was decided
+  std::string reason;
+  auto operator<=>(const Outcome&) const = default;
+};
+
+// ---- Messages ----
+
+/// A lease on the active epoch is wanted. The member counts it from when this went.
+struct Ask {
+  std::uint64_t number = 0;
+  auto operator<=>(const Ask&) const = default;
+};
+struct Grant {
+  std::uint64_t number = 0;  ///< of the Ask
+  Epoch epoch = 0;
+  Time span{0};
+  Index index = 0;  ///< the log has come this far
+  auto operator<=>(const Grant&) const = default;
+};
+/// To a voter's log: has it given its vote to a later term? Answered only where it has not.
+struct Confirm {
+  Term term = 0;
+  std::uint64_t round = 0;
+  auto operator<=>(const Confirm&) const = default;
+};
+struct Confirmed {
+  Term term = 0;
+  std::uint64_t round = 0;
+  auto operator<=>(const Confirmed&) const = default;
+};
+/// The log has come this far; and who leads it.
+struct Look {
+  Index index = 0;
+  std::string leader;  ///< empty: not known
+  auto operator<=>(const Look&) const = default;
+};
+struct Prepared {
+  Index change = 0;
+  bool good = false;
+  std::string reason;
+  auto operator<=>(const Prepared&) const = default;
+};
+/// No more decisions under that epoch. `term`: of the leadership that asks.
+struct Yield {
+  Term term = 0;
+  Epoch epoch = 0;
+  auto operator<=>(const Yield&) const = default;
+};
+struct Yielded {
+  Term term = 0;
+  Epoch epoch = 0;
+  auto operator<=>(const Yielded&) const = default;
+};
+/// An operator's call, on its way to the leader.
+struct Propose {
+  std::string key;
+  Epoch base = 0;
+  std::string policy;
+  auto operator<=>(const Propose&) const = default;
+};
+struct AbortWanted {
+  Index change = 0;
+  auto operator<=>(const AbortWanted&) const = default;
+};
+/// What stands in the log behind that place is wanted, from whoever has it.
+struct Pull {
+  Index after = 0;
+  auto operator<=>(const Pull&) const = default;
+};
+struct Pulled {
+  Index after = 0;
+  Index upto = 0;
+  std::vector<std::pair<Index, Entry>> entries;  ///< all up to there
+  auto operator<=>(const Pulled&) const = default;
+};
+/// All that the log has come to: for one that is too far behind for Pulled.
+struct Whole {
+  Index index = 0;
+  Epoch epoch = 0;
+  std::string key, policy;
+  std::vector<Change> change;  ///< none or one
+  std::vector<Outcome> outcomes;
+  auto operator<=>(const Whole&) const = default;
+};
+using Message = std::variant<Ask, Grant, Confirm, Confirmed, Look, Prepared, Yield, Yielded, Propose,
+                             AbortWanted, Pull, Pulled, Whole>;
+
+}  // namespace dahliahall::agreed
