--- /dev/null
+++ b/src/agreed/raft_core.h
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// raft's own state, and the table of functions through which it reaches time, disk and messages. Of raft_log alone.
+#pragma once
+
+#include <string>
+
+#include "agreed.pb.h"
+#include "agreed/raft_log.h"
+
+extern "C" {
+#include <raft.h>
+}
+
+namespace dahliahall::agreed {
+
+/// raft frees what it is given with its own allocator.
+raft_buffer buffer_of(const std::string& bytes);
+std::string text_of(const raft_buffer& buffer);
+
+/// A server's address in the log is its name and its id: guards against two under one name in one list while one takes
+/// the other's place.
+std::string address_of(const std::string& name, std::uint64_t id);
+std::string name_in(const std::string& address);
+
+using Servers = google::protobuf::RepeatedPtrField<pb::Server>;
+void write_servers(const raft_configuration& from, Servers& to);
+/// False: the list does not hold together; nothing is left to free.
+bool read_servers(const Servers& from, raft_configuration& to);
+
+struct RaftLog::Raft {
+  explicit Raft(RaftLog& owner);
+
+  static Raft& self(raft_io* i) { return *static_cast<Raft*>(i->impl); }
+  static RaftLog& of(raft_io* i) { return self(i).log; }
+
+  // Of the table.
+  int load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* start, raft_entry** entries,
+           std::size_t* count);
+  int bootstrap(const raft_configuration& first);
+  int append(const raft_entry* entries, unsigned count);
+  int truncate(raft_index from);
+  int put_snapshot(unsigned trailing, const raft_snapshot& from);
+  [[nodiscard]] raft_snapshot* make_snapshot() const;
+  int apply(const raft_buffer& buffer);
+  int restore(const std::string& data);
+  void send(const raft_message& message);
+  /// None of it is raft's before all of it is checked.
+  void hear(const pb::LogMessage& from);
+
+  RaftLog& log;
+  raft_io io{};
+  raft_fsm fsm{};
+  struct raft core {};
+  raft_io_tick_cb ticks = nullptr;
+  raft_io_recv_cb hears = nullptr;
+
+ private:
+  static raft_entry entry_of(const Kept& kept);
+  /// The highest index that this server may say it has in common with the leader of that term.
+  [[nodiscard]] raft_index confirmed(raft_term term) const;
+
+  // Of the leader of `checked_term_`: entries up to here were compared with its, by messages that were not rejected.
+  raft_term checked_term_ = 0;
+  raft_index checked_ = 0, checking_ = 0;  // checking_: by the message that is in work
+  bool rejected_ = false;
+};
+
+}  // namespace dahliahall::agreed
--- /dev/null
+++ b/src/agreed/raft_log.cpp
@@ -0,0 +1,502 @@
+// SPDX-License-Identifier: MIT
+#include "agreed/raft_log.h"
+
+#include <algorithm>
+
+#include "agreed/raft_core.h"
+
+namespace dahliahall::agreed {
+namespace {
+
+constexpr Time kBirthEvery{300'000};
+
+}  // namespace
+
+// ---- Life ----
+
+RaftLog::RaftLog(Settings settings, storage::Journal& journal, Time now)
+    : settings_(std::move(settings)), journal_(journal), now_(now), random_(settings_.seed) {}
+
+RaftLog::~RaftLog() {
+  if (!raft_) return;
+  raft_close(&raft_->core, nullptr);
+  while (!later_.empty()) {
+    const auto next = std::move(later_.front());
+    later_.pop_front();
+    next();
+  }
+}
+
+std::uint64_t RaftLog::id_of(const std::string& name, std::uint64_t mark) {
+  std::uint64_t hash = 0xcbf29ce484222325U;
+  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
+  hash ^= mark * 0x9e3779b97f4a7c15U;
+  hash ^= hash >> 29U;
+  return (hash >> 1U) | 1U;  // never 0
+}
+
+bool RaftLog::read_records(const std::vector<std::string>& records) {
+  for (const std::string& text : records) {
+    pb::Record record;
+    if (!record.ParseFromString(text)) return false;
+    switch (record.kind_case()) {
+      case pb::Record::kMark:
+        mark_ = record.mark();
+        break;
+      case pb::Record::kTerm:
+        term_ = record.term();
+        vote_ = 0;
+        break;
+      case pb::Record::kVote:
+        vote_ = record.vote();
+        break;
+      case pb::Record::kEntry: {
+        const pb::Kept& kept = record.entry();
+        if (entries_.empty() && snapshot_.empty() && kept.index() != 1) return false;
+        if (entries_.empty()) first_index_ = kept.index();
+        if (kept.index() != first_index_ + entries_.size()) return false;
+        entries_.push_back({kept.entry().term(), kept.entry().type(), kept.entry().data()});
+        break;
+      }
+      case pb::Record::kTruncate:
+        if (record.truncate() < first_index_) return false;
+        entries_.resize(std::min<std::size_t>(entries_.size(), record.truncate() - first_index_));
+        break;
+      case pb::Record::kSnapshot:
+        snapshot_ = record.snapshot().SerializeAsString();
+        first_index_ = record.snapshot().index() + 1;
+        entries_.clear();
+        break;
+      case pb::Record::kWhole: {
+        auto whole = read(record.whole());
+        if (!whole) return false;
+        learnt_ = std::move(*whole);
+        break;
+      }
+      case pb::Record::KIND_NOT_SET:
+        return false;
+    }
+  }
+  return true;
+}
+
+bool RaftLog::write(const std::vector<std::string>& records) {
+  if (journal_.append(records)) return true;
+  if (why_.empty()) {
+    why_ = journal_.why();
+    if (out_ != nullptr) out_->log.push_back("policy storage failed: " + why_ + "; it takes no part in the log any more");
+  }
+  return false;
+}
+
+std::vector<std::string> RaftLog::all_records() const {
+  std::vector<std::string> records;
+  pb::Record record;
+  record.set_mark(mark_);
+  records.push_back(record.SerializeAsString());
+  if (term_ != 0) {
+    record.set_term(term_);
+    records.push_back(record.SerializeAsString());
+  }
+  if (vote_ != 0) {
+    record.set_vote(vote_);
+    records.push_back(record.SerializeAsString());
+  }
+  if (!snapshot_.empty()) {
+    record.mutable_snapshot()->ParseFromString(snapshot_);
+    records.push_back(record.SerializeAsString());
+  }
+  for (std::size_t at = 0; at < entries_.size(); ++at) {
+    pb::Kept& kept = *record.mutable_entry();
+    kept.set_index(first_index_ + at);
+    kept.mutable_entry()->set_term(entries_[at].term);
+    kept.mutable_entry()->set_type(entries_[at].type);
+    kept.mutable_entry()->set_data(entries_[at].data);
+    records.push_back(record.SerializeAsString());
+  }
+  if (learnt_) {
+    agreed::write(*learnt_, *record.mutable_whole());
+    records.push_back(record.SerializeAsString());
+  }
+  return records;
+}
+
+bool RaftLog::compact() {
+  if (journal_.replace(all_records())) return true;
+  if (why_.empty()) why_ = journal_.why();
+  return false;
+}
+
+bool RaftLog::open(Out& out) {
+  out_ = &out;
+  std::vector<std::string> records;
+  if (!journal_.open(records)) {
+    why_ = journal_.why();
+  } else if (!read_records(records)) {
+    why_ = "its records do not go together";
+  } else if (mark_ == 0) {
+    mark_ = random_() | 1U;
+    pb::Record record;
+    record.set_mark(mark_);
+    write({record.SerializeAsString()});
+  }
+  if (journal_.mended() > 0)
+    out.log.push_back("policy storage mended records=" + std::to_string(journal_.mended()) + ": one of two copies was damaged");
+  id_ = id_of(settings_.name, mark_);
+  if (!why_.empty()) {
+    out.log.push_back("policy storage failed: " + why_ + "; it takes no part in the log");
+    out_ = nullptr;
+    return false;
+  }
+  if (learnt_) {
+    register_ = Register(*learnt_);
+    told_ = learnt_->index;
+    out.inputs.emplace_back(Restored{*learnt_});
+  }
+  const bool has_log = term_ != 0 || !entries_.empty() || !snapshot_.empty();
+  if (has_log && !begin(out)) return false;
+  settle(out);
+  out_ = nullptr;
+  return true;
+}
+
+bool RaftLog::begin(Out& out) {
+  raft_ = std::make_unique<Raft>(*this);
+  const std::string address = address_of(settings_.name, id_);
+  struct raft& r = raft_->core;
+  int status = raft_init(&r, &raft_->io, &raft_->fsm, id_, address.c_str());
+  if (status == 0) {
+    raft_set_pre_vote(&r, true);
+    raft_set_election_timeout(&r, settings_.election_ms);
+    raft_set_heartbeat_timeout(&r, settings_.heartbeat_ms);
+    raft_set_snapshot_threshold(&r, settings_.snapshot_every);
+    raft_set_snapshot_trailing(&r, settings_.trailing);
+    status = raft_start(&r);
+  }
+  if (status == 0) return true;
+  if (why_.empty()) why_ = std::string("raft: ") + raft_strerror(status) + " " + raft_errmsg(&r);
+  out.log.push_back("policy log can't begin: " + why_);
+  return false;
+}
+
+bool RaftLog::runs() const { return raft_ != nullptr && why_.empty(); }
+bool RaftLog::leads() const { return runs() && raft_state(&raft_->core) == RAFT_LEADER; }
+Term RaftLog::term() const { return raft_ ? raft_->core.current_term : term_; }
+
+std::map<std::string, std::uint64_t> RaftLog::voters() const {
+  std::map<std::string, std::uint64_t> all;
+  if (!raft_) return all;
+  const raft_configuration& c = raft_->core.configuration;
+  for (unsigned i = 0; i < c.n; ++i) {
+    if (c.servers[i].role == RAFT_VOTER) all[name_in(c.servers[i].address)] = c.servers[i].id;
+  }
+  return all;
+}
+
+bool RaftLog::confirms(Term term) const {
+  if (!runs()) return false;
+  const auto all = voters();
+  const auto found = all.find(settings_.name);
+  return found != all.end() && found->second == id_ && raft_->core.current_term <= term;
+}
+
+// ---- The beginning of the log ----
+
+/// The first voters begin it together, and only where none of them has one: guards against one that lost its disk,
+/// which would begin again and vote twice in a term.
+void RaftLog::ask_birth(Out& out) {
+  if (raft_ || !why_.empty() || now_ < next_birth_) return;
+  const auto& first = settings_.first;
+  if (std::find(first.begin(), first.end(), settings_.name) == first.end()) return;
+  next_birth_ = now_ + kBirthEvery;
+  pb::Born born;
+  born.set_asks(true);
+  born.set_id(id_);
+  for (const std::string& name : first) {
+    if (name != settings_.name) out.send.emplace_back(name, encode(born, settings_.lease));
+  }
+  unborn_[settings_.name] = id_;
+  if (unborn_.size() < first.size()) return;
+  pb::Born all;
+  for (const auto& [name, id] : unborn_) {
+    pb::Server& server = *all.add_first();
+    server.set_id(id);
+    server.set_address(address_of(name, id));
+    server.set_role(RAFT_VOTER);
+  }
+  bootstrap(all, out);
+}
+
+bool RaftLog::bootstrap(const pb::Born& born, Out& out) {
+  const auto mine = [this](const pb::Server& s) { return s.id() == id_; };
+  if (std::none_of(born.first().begin(), born.first().end(), mine)) return false;
+  raft_configuration first{};
+  if (!read_servers(born.first(), first)) return false;
+  raft_ = std::make_unique<Raft>(*this);
+  const std::string address = address_of(settings_.name, id_);
+  int status = raft_init(&raft_->core, &raft_->io, &raft_->fsm, id_, address.c_str());
+  if (status == 0) status = raft_bootstrap(&raft_->core, &first);
+  raft_configuration_close(&first);
+  raft_close(&raft_->core, nullptr);
+  while (!later_.empty()) {
+    const auto next = std::move(later_.front());
+    later_.pop_front();
+    next();
+  }
+  raft_.reset();
+  if (status != 0) return false;
+  out.log.push_back("policy log begins voters=" + std::to_string(born.first_size()));
+  return begin(out);
+}
+
+void RaftLog::heard(Time now, const std::string& from, const ForBirth& message, Out& out) {
+  now_ = std::max(now_, now);
+  pb::Born born;
+  if (!born.ParseFromString(message.bytes)) return;
+  out_ = &out;
+  const auto& first = settings_.first;
+  if (born.asks()) {
+    pb::Born answer;
+    answer.set_id(id_);
+    answer.set_has_log(raft_ != nullptr || !why_.empty());
+    // The list with which it began, where that is still its first entry: one of that list whose disk has not been
+    // lost begins with it too.
+    if (raft_ && first_index_ == 1 && !entries_.empty()) {
+      raft_configuration& c = raft_->core.configuration;
+      if (raft_->core.configuration_index <= 1) write_servers(c, *answer.mutable_first());
+    }
+    out.send.emplace_back(from, encode(answer, settings_.lease));
+  } else if (!raft_ && std::find(first.begin(), first.end(), from) != first.end()) {
+    if (!born.has_log()) {
+      unborn_[from] = born.id();
+    } else if (!bootstrap(born, out)) {
+      unborn_.erase(from);
+    }
+  }
+  settle(out);
+  out_ = nullptr;
+}
+
+// ---- Calls ----
+
+void RaftLog::tick(Time now, Out& out) {
+  now_ = std::max(now_, now);
+  out_ = &out;
+  ask_birth(out);
+  if (runs() && now_ - last_tick_ >= std::chrono::milliseconds(settings_.heartbeat_ms) / 2) {
+    last_tick_ = now_;
+    raft_->ticks(&raft_->io);
+  }
+  settle(out);
+  out_ = nullptr;
+}
+
+void RaftLog::heard(Time now, const ForLog& message, Out& out) {
+  now_ = std::max(now_, now);
+  pb::LogMessage from;
+  if (!why_.empty() || !from.ParseFromString(message.bytes)) return;
+  // Guards against what is meant for one that had this name with another disk: its votes are not this one's.
+  if (from.to() != id_) return;
+  out_ = &out;
+  // A leader has added it: it takes the log from there.
+  if (!raft_ && from.has_append()) begin(out);
+  if (runs()) raft_->hear(from);
+  settle(out);
+  out_ = nullptr;
+}
+
+void RaftLog::append(Time now, const Entry& entry, Out& out) {
+  now_ = std::max(now_, now);
+  if (!leads()) return;
+  out_ = &out;
+  using Apply = struct raft_apply;
+  auto* request = new Apply{};
+  const raft_buffer buffer = buffer_of(encode(entry));
+  const int status = raft_apply(&raft_->core, request, &buffer, 1, [](Apply* r, int, void*) { delete r; });
+  if (status != 0) {
+    raft_free(buffer.base);
+    delete request;
+  }
+  settle(out);
+  out_ = nullptr;
+}
+
+void RaftLog::learn(Time now, const Learn& what, Out& out) {
+  now_ = std::max(now_, now);
+  if (raft_ || !why_.empty()) return;
+  out_ = &out;
+  std::vector<Input> inputs;
+  Register next = register_;
+  if (const auto* whole = std::get_if<Whole>(&what.what)) {
+    if (whole->index > next.index()) {
+      next = Register(*whole);
+      inputs.emplace_back(Restored{*whole});
+    }
+  } else if (const auto& pulled = std::get<Pulled>(what.what); pulled.after == next.index()) {
+    for (const auto& [index, entry] : pulled.entries) {
+      next.apply(index, entry);
+      inputs.emplace_back(Applied{index, entry});
+    }
+    next.pass(pulled.upto);
+    inputs.emplace_back(Applied{pulled.upto, std::nullopt});
+  }
+  if (!inputs.empty()) {
+    learnt_ = next.whole();
+    // All of it is one small record: written anew each time, the journal does not grow.
+    if (journal_.replace(all_records())) {
+      register_ = std::move(next);
+      told_ = register_.index();
+      for (Input& input : inputs) out.inputs.push_back(std::move(input));
+    } else {
+      why_ = journal_.why();
+      out.log.push_back("policy storage failed: " + why_ + "; it learns nothing more");
+    }
+  }
+  out_ = nullptr;
+}
+
+/// What raft has put off, until nothing is left; then what became of its role.
+void RaftLog::settle(Out& out) {
+  while (!later_.empty()) {
+    const auto next = std::move(later_.front());
+    later_.pop_front();
+    next();
+  }
+  watch_role(out);
+  watch_change(out);
+  while (!later_.empty()) {
+    const auto next = std::move(later_.front());
+    later_.pop_front();
+    next();
+  }
+  if (raft_ && raft_->core.last_applied > told_) {
+    told_ = raft_->core.last_applied;
+    register_.pass(told_);
+    out.inputs.emplace_back(Applied{told_, std::nullopt});
+  }
+}
+
+void RaftLog::watch_role(Out& out) {
+  if (!raft_) return;
+  if (leads()) {
+    if (!was_leader_ || led_term_ != term()) {
+      was_leader_ = true;
+      led_term_ = term();
+      // Once this has been applied, so has all that was ever committed.
+      struct Barrier {
+        struct raft_barrier request {};
+        RaftLog* log = nullptr;
+        Term term = 0;
+      };
+      auto* barrier = new Barrier;
+      barrier->request.data = barrier;
+      barrier->log = this;
+      barrier->term = led_term_;
+      const int status = raft_barrier(&raft_->core, &barrier->request, [](struct raft_barrier* r, int failed) {
+        const std::unique_ptr<Barrier> mine(static_cast<Barrier*>(r->data));
+        RaftLog& log = *mine->log;
+        if (failed != 0 || !log.leads() || log.term() != mine->term || log.out_ == nullptr) return;
+        std::set<std::string> names;
+        for (const auto& [name, id] : log.voters()) names.insert(name);
+        log.told_ = log.raft_->core.last_applied;
+        log.register_.pass(log.told_);
+        log.out_->inputs.emplace_back(Applied{log.told_, std::nullopt});
+        log.out_->inputs.emplace_back(Led{mine->term, names});
+        log.leader_ = log.settings_.name;
+        log.role_told_ = true;
+      });
+      if (status != 0) {
+        delete barrier;
+        was_leader_ = false;
+      }
+    }
+    return;
+  }
+  raft_id id = 0;
+  const char* address = nullptr;
+  if (why_.empty()) raft_leader(&raft_->core, &id, &address);
+  const std::string leader = address == nullptr || id == 0 ? std::string() : name_in(address);
+  if (role_told_ && !was_leader_ && leader == leader_) return;
+  was_leader_ = false;
+  role_told_ = true;
+  leader_ = leader;
+  wanted_.clear();
+  out.inputs.emplace_back(Followed{leader, why_.empty()});
+}
+
+// ---- Voters by hand ----
+
+bool RaftLog::add_voter(const std::string& name, std::uint64_t id, Out& out) {
+  if (!leads() || id == 0 || !wanted_.empty()) return false;
+  const auto all = voters();
+  if (const auto found = all.find(name); found != all.end()) {
+    if (found->second == id) return true;
+    // The one before has lost its disk, and its votes with it: it goes first.
+    wanted_.push_back({found->second, address_of(name, found->second), true, false});
+  }
+  wanted_.push_back({id, address_of(name, id), false, false});
+  out_ = &out;
+  settle(out);
+  out_ = nullptr;
+  return true;
+}
+
+bool RaftLog::remove_voter(const std::string& name, Out& out) {
+  const auto all = voters();
+  const auto found = all.find(name);
+  if (!leads() || !wanted_.empty() || found == all.end() || all.size() < 2) return false;
+  wanted_.push_back({found->second, address_of(name, found->second), true, false});
+  out_ = &out;
+  settle(out);
+  out_ = nullptr;
+  return true;
+}
+
+/// One step at a time through the log: added without a vote, then given it once it has caught up; or removed.
+void RaftLog::watch_change(Out& out) {
+  if (wanted_.empty() || !leads() || wanted_.front().out) return;
+  struct raft& r = raft_->core;
+  Wanted& wanted = wanted_.front();
+  const raft_configuration& c = r.configuration;
+  const raft_server* found = nullptr;
+  for (unsigned i = 0; i < c.n; ++i) {
+    if (c.servers[i].id == wanted.id) found = &c.servers[i];
+  }
+  const bool done = wanted.remove ? found == nullptr : found != nullptr && found->role == RAFT_VOTER;
+  if (done) {
+    out.log.push_back("policy voter " + std::string(wanted.remove ? "removed" : "added") + " " + wanted.address);
+    wanted_.pop_front();
+    std::set<std::string> names;
+    for (const auto& [name, id] : voters()) names.insert(name);
+    out.inputs.emplace_back(Voters{names});
+    watch_change(out);
+    return;
+  }
+  struct Turn {
+    raft_change request{};
+    RaftLog* log = nullptr;
+  };
+  auto* step = new Turn;
+  step->request.data = step;
+  step->log = this;
+  const raft_change_cb over = [](raft_change* request, int status) {
+    const std::unique_ptr<Turn> mine(static_cast<Turn*>(request->data));
+    RaftLog& log = *mine->log;
+    if (log.wanted_.empty()) return;
+    log.wanted_.front().out = false;
+    if (status == 0) return;
+    if (log.out_ != nullptr)
+      log.out_->log.push_back("policy voter " + log.wanted_.front().address + " not changed: " + raft_strerror(status));
+    log.wanted_.clear();
+  };
+  wanted.out = true;
+  const int status = wanted.remove       ? raft_remove(&r, &step->request, wanted.id, over)
+                     : found == nullptr ? raft_add(&r, &step->request, wanted.id, wanted.address.c_str(), over)
+                                        : raft_assign(&r, &step->request, wanted.id, RAFT_VOTER, over);
+  if (status == 0) return;
+  out.log.push_back("policy voter " + wanted.address + " not changed: " + raft_strerror(status));
+  delete step;
+  wanted_.clear();
+}
+
+}  // namespace dahliahall::agreed
--- a/src/agreed/reducer.cpp
+++ b/src/agreed/reducer.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 State::State(Settings settings, std::uint64_t first, std::uint64_t seed, Time now)
-    : settings_(std::move(settings)), now_(now), lease_(first), next_ask_(now), next_pull_(now), turn_(seed) {}
+    : settings_(std::move(settings)), now_(now), lease_(first), next_ask_(now), next_pull_(now), pull_turn_(seed) {}
 
 std::vector<Effect> State::take(Time now, const Input& input) {
   now_ = std::max(now_, now);
@@ -149,7 +149,7 @@
   carry_out(std::move(wish));
 }
 void State::hear(const std::string& from, const Yielded& m) {
-  if (steward_) steward_->yielded(from, m);
+  if (steward_) steward_->yielded(from, m, register_);
 }
 void State::hear(const std::string&, const Propose& m) {
   if (!steward_ || m.policy.size() > settings_.most_policy || m.key.empty() || m.key.size() > kMostKey) return;
@@ -173,13 +173,13 @@
 // ---- The member's side ----
 
 void State::hear(const std::string& from, const Grant& m) {
-  leader_ = from;
+  if (!steward_) leader_ = from;
   newest_ = std::max(newest_, m.index);
   if (lease_.granted(m, register_.epoch(), now_)) ++counts_.grants;
 }
 
 void State::hear(const std::string& from, const Yield& m) {
-  leader_ = from;
+  if (!steward_) leader_ = from;
   if (lease_.epoch() == m.epoch || !lease_.held(now_)) lease_.give_up();
   // Guards the promise: only what was given up for certain is said to be.
   if (!lease_.held(now_)) send(from, Yielded{m.term, m.epoch});
@@ -224,16 +224,17 @@
 
 /// The leader, where it is known; else one of the voters after the other.
 std::string State::whom_to_ask() {
+  if (steward_) return settings_.name;
   if (!leader_.empty()) return leader_;
   if (settings_.voters.empty()) return {};
-  return settings_.voters[turn_++ % settings_.voters.size()];
+  return settings_.voters[ask_turn_++ % settings_.voters.size()];
 }
 
 void State::ask() {
   const bool held = lease_.held(now_).has_value();
   next_ask_ = now_ + (eager() ? settings_.eager : settings_.renew);
   // One that answers nothing may lead no more.
-  if (!held && !steward_ && ++turn_ % 4 == 0 && !voter_) leader_.clear();
+  if (!held && !steward_ && !voter_ && ++unheard_ % 4 == 0) leader_.clear();
   const std::string to = whom_to_ask();
   if (to.empty()) return;
   ++counts_.asks;
@@ -249,8 +250,9 @@
   for (const auto& [name, reached] : members_) {
     if (reached && name != settings_.name) from.push_back(name);
   }
-  const std::uint64_t turn = turn_++;
-  const std::string to = from.empty() || turn % 3 == 2 ? whom_to_ask() : from[turn * 7919 % from.size()];
+  // All of them by turns, by a count of its own: guards against two that only ever ask each other.
+  const std::uint64_t turn = pull_turn_++;
+  const std::string to = from.empty() || turn % 3 == 2 ? whom_to_ask() : from[turn % from.size()];
   if (!to.empty() && to != settings_.name) send(to, Pull{register_.index()});
 }
 
--- a/src/agreed/reducer.h
+++ b/src/agreed/reducer.h
@@ -46,6 +46,10 @@
   std::string leader;
   bool voter = false;  ///< the log gives it its entries
 };
+/// The voters have changed, while this proxy leads.
+struct Voters {
+  std::set<std::string> names;
+};
 /// The registered members, and whether each is reached.
 struct Members {
   std::map<std::string, bool> reached;
@@ -60,7 +64,7 @@
 struct AbortCalled {
   std::uint64_t call = 0;
 };
-using Input = std::variant<Heard, Due, Applied, Restored, Led, Followed, Members, Put, AbortCalled>;
+using Input = std::variant<Heard, Due, Applied, Restored, Led, Followed, Voters, Members, Put, AbortCalled>;
 
 // ---- Effects ----
 
@@ -136,6 +140,9 @@
   void on(const Restored& in);
   void on(const Led& in);
   void on(const Followed& in);
+  void on(const Voters& in) {
+    if (steward_) steward_->set_voters(in.names);
+  }
   void on(const Members& in) { members_ = in.reached; }
   void on(const Put& in);
   void on(const AbortCalled& in);
@@ -181,7 +188,7 @@
   std::optional<std::string> unfit_;
   std::map<std::uint64_t, Call> calls_;
   Time next_ask_, next_pull_, next_call_{0};
-  std::uint64_t turn_;  // whom to ask, or to pull from, next
+  std::uint64_t pull_turn_, ask_turn_ = 0, unheard_ = 0;
   std::optional<Epoch> told_;
   bool ever_told_ = false;
   Counts counts_;
--- a/src/agreed/steward.cpp
+++ b/src/agreed/steward.cpp
@@ -18,7 +18,10 @@
       std::ceil(static_cast<double>(lease.count()) * (1 + drift) / (1 - drift)))};
 }
 
-bool Steward::silent(const Holder& holder, Time now) const { return now - holder.asked > 2 * settings_.renew; }
+/// While a change is under way all who live ask each `eager`.
+bool Steward::silent(const Holder& holder, Time now) const {
+  return now - holder.asked > (change_ == 0 ? 2 * settings_.renew : 3 * settings_.eager);
+}
 
 // ---- Leases ----
 
@@ -105,17 +108,34 @@
   wish.append.push_back({Step::abort, change_, {}, 0, {}, "an operator's word at " + by});
 }
 
-void Steward::yielded(const std::string& by, const Yielded& yielded) {
-  // Guards against one that yielded to an earlier leadership and holds a newer lease since.
-  if (!switching_ || yielded.term != term_) return;
+void Steward::yielded(const std::string& by, const Yielded& yielded, const Register& at) {
+  // Guards against one that yielded to an earlier leadership, or for an earlier change, and holds a newer lease
+  // since.
+  if (!switching_ || yielded.term != term_ || yielded.epoch != at.epoch()) return;
   if (const auto found = holders_.find(by); found != holders_.end()) found->second.until = Time{0};
 }
 
+/// Who is reached, by membership or by what came lately, and has not said that it can run it.
+std::set<std::string> Steward::unprepared(const std::map<std::string, bool>& members, Time now) const {
+  std::set<std::string> all;
+  for (const auto& [name, reached] : members) {
+    if (reached) all.insert(name);
+  }
+  // Guards against a view that does not know yet who is there: whoever may decide counts as well.
+  for (const auto& [name, holder] : holders_) {
+    if (holder.until > now && now - holder.asked <= 2 * settings_.renew) all.insert(name);
+  }
+  for (const std::string& name : ready_) all.erase(name);
+  return all;
+}
+
 void Steward::run(const Register& at, const std::map<std::string, bool>& members, Time now, Wish& wish) {
   const Index before = change_;
   follow(at);
   if (change_ != before) change_since_ = now;
-  std::erase_if(holders_, [&](const auto& h) { return h.second.until <= now && silent(h.second, now); });
+  std::erase_if(holders_, [&](const auto& h) {
+    return h.second.until <= now && now - h.second.asked > 2 * settings_.renew;
+  });
   std::erase_if(waiting_, [&](const auto& w) { return holders_.count(w.first) == 0; });
   const bool again = now - told_ >= settings_.eager;
   if (change_ != 0) {
@@ -132,9 +152,7 @@
     }
     if (!at.change()->committed && !ended_) {
       std::string missing;
-      for (const auto& [name, reached] : members) {
-        if (reached && ready_.count(name) == 0) missing += (missing.empty() ? "" : ", ") + name;
-      }
+      for (const std::string& name : unprepared(members, now)) missing += (missing.empty() ? "" : ", ") + name;
       if (missing.empty()) {
         ended_ = true;
         wish.append.push_back({Step::commit, change_, {}, 0, {}, {}});
@@ -181,9 +199,7 @@
   if (!at.change()) return all;
   const auto left = [now](Time until) { return std::to_string((until - now).count() / 1000) + " ms"; };
   if (!at.change()->committed) {
-    for (const auto& [name, reached] : members) {
-      if (reached && ready_.count(name) == 0) all.push_back(name + ": has not prepared");
-    }
+    for (const std::string& name : unprepared(members, now)) all.push_back(name + ": has not prepared");
     return all;
   }
   if (earlier_until_ > now) all.push_back("leases of the leader before: " + left(earlier_until_));
--- a/src/agreed/steward.h
+++ b/src/agreed/steward.h
@@ -32,7 +32,7 @@
   void confirmed(const std::string& by, const Confirmed& confirmed, const Register& at, Time now,
                  Wish& wish);
   void prepared(const std::string& by, const Prepared& prepared, const Register& at, Wish& wish);
-  void yielded(const std::string& by, const Yielded& yielded);
+  void yielded(const std::string& by, const Yielded& yielded, const Register& at);
   void abort(Index change, const std::string& by, const Register& at, Wish& wish);
   void propose(const Propose& call, const Register& at, Wish& wish);
 
@@ -69,6 +69,7 @@
   void ask_voters(Time now, Wish& wish);
   void grant_all(const Register& at, Time now, Wish& wish);
   [[nodiscard]] bool silent(const Holder& holder, Time now) const;
+  [[nodiscard]] std::set<std::string> unprepared(const std::map<std::string, bool>& members, Time now) const;
 
   Settings settings_;
   Term term_;
--- /dev/null
+++ b/src/agreed/wire.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// Messages and entries of agreement as bytes, through Protocol Buffers. Every field is checked.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "agreed/types.h"
+
+namespace dahliahall::agreed {
+
+namespace pb {
+class Born;
+class LogMessage;
+class Whole;
+}  // namespace pb
+
+/// What the log's own servers tell each other goes on as the bytes that came.
+struct ForLog {
+  std::string bytes;  ///< of a pb::LogMessage
+};
+struct ForBirth {
+  std::string bytes;  ///< of a pb::Born
+};
+using Carried = std::variant<Message, ForLog, ForBirth>;
+
+/// `lease`: the sender's, as set.
+std::string encode(const Message& message, Time lease);
+std::string encode(const pb::LogMessage& message, Time lease);
+std::string encode(const pb::Born& message, Time lease);
+/// None where it is malformed, holds a value out of its range, or comes from one whose leases are other than `lease`
+/// (`unlike` tells that).
+std::optional<Carried> decode(std::string_view bytes, Time lease, bool* unlike = nullptr);
+
+std::string encode(const Entry& entry);
+std::optional<Entry> decode_entry(std::string_view bytes);
+void write(const Whole& whole, pb::Whole& to);
+/// None where a value is out of its range.
+std::optional<Whole> read(const pb::Whole& from);
+
+}  // namespace dahliahall::agreed
