--- a/include/dahliahall/choice.h
+++ b/include/dahliahall/choice.h
@@ -202,8 +202,12 @@
   std::string request;
   int attempt = 0;
 };
+/// Other settings from now on, between two requests: the same classes in the same order, the same fleet.
+struct Resettle {
+  Settings settings;
+};
 using Event = std::variant<MemberList, Request, TimerFired, Outcome, Probed, Purge, Withdrawn, StreamStarted,
-                           Portion>;
+                           Portion, Resettle>;
 
 // ---- Actions ----
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -864,6 +864,7 @@
   }
 
   void on(const Portion& p) { portion_ = p; }
+  void on(const Resettle& r) { s_ = r.settings; }
 
   void on(const StreamStarted& s) {
     const auto found = held_.find(s.request);
--- a/src/codec/http_call.cpp
+++ b/src/codec/http_call.cpp
@@ -28,10 +28,28 @@
   return path;
 }
 
+/// What the head says of the body's length; 0 where it says nothing, none where that can't be read.
+std::optional<std::size_t> body_length(std::string_view head) {
+  constexpr std::string_view kName = "\r\ncontent-length:";
+  std::string low(head);
+  std::transform(low.begin(), low.end(), low.begin(),
+                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+  std::size_t at = low.find(kName);
+  if (at == std::string::npos) return 0;
+  for (at += kName.size(); low[at] == ' '; ++at) {
+  }
+  std::size_t length = 0;
+  const auto [end, problem] = std::from_chars(low.data() + at, low.data() + low.size(), length);
+  if (problem != std::errc{} || *end != '\r') return std::nullopt;
+  return length;
+}
+
 std::string_view reason_of(int status) {
   switch (status) {
     case 200:
       return "OK";
+    case 202:
+      return "Accepted";
     case 400:
       return "Bad Request";
     case 404:
@@ -40,6 +58,10 @@
       return "Method Not Allowed";
     case 409:
       return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 422:
+      return "Unprocessable Content";
     default:
       return "Service Unavailable";
   }
@@ -50,7 +72,8 @@
 void HttpCallReader::feed(std::string_view bytes) {
   if (done_ || broken_) return;
   // Guards the memory against a head that never ends.
-  head_.append(bytes.substr(0, kMaxCallHead + 1 - std::min(head_.size(), kMaxCallHead + 1)));
+  constexpr std::size_t kMost = kMaxCallHead + kMaxCallBody + 1;
+  head_.append(bytes.substr(0, kMost - std::min(head_.size(), kMost)));
 }
 
 std::optional<HttpCall> HttpCallReader::next() {
@@ -68,7 +91,10 @@
   auto path = read_path(line.substr(first + 1, second - first - 1));
   broken_ = !path || path->empty();
   if (broken_) return std::nullopt;
-  HttpCall call{std::string(line.substr(0, first)), std::move(*path)};
+  const auto length = body_length(std::string_view(head_).substr(0, end + 2));
+  broken_ = !length || *length > kMaxCallBody || end > kMaxCallHead;
+  if (broken_ || head_.size() - end - 4 < *length) return std::nullopt;
+  HttpCall call{std::string(line.substr(0, first)), std::move(*path), head_.substr(end + 4, *length)};
   done_ = true;
   std::string().swap(head_);
   return call;
--- a/src/codec/http_call.h
+++ b/src/codec/http_call.h
@@ -11,17 +11,19 @@
 namespace dahliahall::codec {
 
 constexpr std::size_t kMaxCallHead = 8 * 1024;
+constexpr std::size_t kMaxCallBody = 72 * 1024;
 
 struct HttpCall {
   std::string method;
   std::string path;  ///< without a query, its escapes read
+  std::string body;  ///< as long as the head says
 };
 
-/// Takes the first call out of a stream of bytes, however it is split. What follows its head is passed over.
+/// Takes the first call out of a stream of bytes, however it is split. What follows its body is passed over.
 class HttpCallReader {
  public:
   void feed(std::string_view bytes);
-  /// The call, once, when its head is whole.
+  /// The call, once, when its head and body are whole.
   std::optional<HttpCall> next();
   /// What came can't become a call.
   [[nodiscard]] bool broken() const { return broken_; }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -117,6 +117,11 @@
   read_own_settings(config, root.object("settings"));
   if (root.find("peers") != nullptr)
     config.peers = read_peers(root.object("peers"), config.name, config.settings.zone, config.settings.routers, config.max_sockets);
+  if (root.find("policy") != nullptr) {
+    if (!config.peers) root.fail("policy", "needs the section peers");
+    config.policy = read_policy(root.object("policy"), config.name);
+    config.peers->most_carried = 4 * config.policy->settings.most_policy;
+  }
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> writer(text);
   root.need("settings").Accept(writer);
@@ -138,6 +143,7 @@
   if (running.flow_bytes_per_s != read.flow_bytes_per_s) keys.emplace_back("flow_bytes_per_s");
   if (running.link_bytes_per_s != read.link_bytes_per_s) keys.emplace_back("link_bytes_per_s");
   if (running.peers != read.peers) keys.emplace_back("peers");
+  if (running.policy != read.policy) keys.emplace_back("policy");
   if (running.settings_text != read.settings_text) keys.emplace_back("settings");
   return keys;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,6 +10,7 @@
 
 #include "codec/bulletin.h"
 #include "config/peers_config.h"
+#include "config/policy_config.h"
 
 namespace dahliahall::config {
 
@@ -32,6 +33,7 @@
   std::int64_t known_number = 0;
   std::vector<codec::BulletinEvent> known;
   std::optional<Peers> peers;  ///< none: it knows of no other edge proxy
+  std::optional<Policy> policy;  ///< none: the settings alone hold
   std::string settings_text;  ///< the settings as JSON, to tell whether another file has others
 };
 
--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -6,6 +6,7 @@
 
 constexpr std::string_view kMembers = "/v1/pop-caches/";
 constexpr std::string_view kPeers = "/v1/peers/";
+constexpr std::string_view kVoters = "/v1/policy/voters/";
 
 }  // namespace
 
@@ -14,9 +15,12 @@
     return call.method == method ? meant : AdminWord::wrong_method;
   };
   const std::string_view path = call.path;
-  if (path == "/v1/readyz") return {word("GET", AdminWord::ready), {}};
-  if (path == "/v1/metrics") return {word("GET", AdminWord::metrics), {}};
-  if (path == "/v1/peers") return {word("GET", AdminWord::peers), {}};
+  if (path == "/v1/readyz") return {word("GET", AdminWord::ready), {}, {}};
+  if (path == "/v1/metrics") return {word("GET", AdminWord::metrics), {}, {}};
+  if (path == "/v1/policy" && call.method == "PUT") return {AdminWord::put_policy, {}, call.body};
+  if (path == "/v1/policy") return {word("GET", AdminWord::policy), {}, {}};
+  if (path == "/v1/policy/abort") return {word("POST", AdminWord::abort_policy), {}, {}};
+  if (path == "/v1/peers") return {word("GET", AdminWord::peers), {}, {}};
   // A member's name and what is done to it, where the path begins with `front`.
   const auto named =
       [&path](std::string_view front) -> std::optional<std::pair<std::string, std::string_view>> {
@@ -27,11 +31,15 @@
     return std::pair{std::string(rest.substr(0, slash)), rest.substr(slash + 1)};
   };
   if (const auto cache = named(kMembers)) {
-    if (cache->second == "suspend") return {word("POST", AdminWord::suspend), cache->first};
-    if (cache->second == "resume") return {word("POST", AdminWord::resume), cache->first};
+    if (cache->second == "suspend") return {word("POST", AdminWord::suspend), cache->first, {}};
+    if (cache->second == "resume") return {word("POST", AdminWord::resume), cache->first, {}};
   }
   if (const auto peer = named(kPeers); peer && peer->second == "forget")
-    return {word("POST", AdminWord::forget), peer->first};
+    return {word("POST", AdminWord::forget), peer->first, {}};
+  if (const auto voter = named(kVoters); voter && voter->second == "add")
+    return {word("POST", AdminWord::add_voter), voter->first, {}};
+  if (const auto voter = named(kVoters); voter && voter->second == "remove")
+    return {word("POST", AdminWord::remove_voter), voter->first, {}};
   return {};
 }
 
--- a/src/edge/admin.h
+++ b/src/edge/admin.h
@@ -16,10 +16,25 @@
 namespace dahliahall::edge {
 
 /// What operators can ask for.
-enum class AdminWord { ready, metrics, suspend, resume, peers, forget, unknown, wrong_method };
+enum class AdminWord {
+  ready,
+  metrics,
+  suspend,
+  resume,
+  peers,
+  forget,
+  policy,
+  put_policy,
+  abort_policy,
+  add_voter,
+  remove_voter,
+  unknown,
+  wrong_method
+};
 struct AdminCall {
   AdminWord word = AdminWord::unknown;
-  std::string member;  ///< of suspend, resume and forget
+  std::string member;  ///< of suspend, resume, forget and the words on voters
+  std::string body;    ///< of put_policy
 };
 AdminCall read_admin_call(const codec::HttpCall& call);
 
--- /dev/null
+++ b/src/edge/agreeing.cpp
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: MIT
+#include "edge/agreeing.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include "fields.h"
+
+namespace dahliahall::edge {
+namespace {
+
+constexpr unsigned kNumbersOfALife = 20;  // bits: numbers of questions within one incarnation
+
+}  // namespace
+
+Agreeing::Agreeing(Context& context, Peering& peering, const config::Config& config)
+    : context_(context), peering_(peering), start_(config.settings), seed_(config.seed) {
+  if (!config.policy) return;
+  settings_ = config.policy->settings;
+  trace_ = config.policy->trace;
+  settings_->check = [start = start_](const std::string& policy) -> std::optional<std::string> {
+    try {
+      read_policy_terms(policy, start);
+    } catch (const FieldError& problem) {
+      return problem.what();
+    }
+    return std::nullopt;
+  };
+}
+
+void Agreeing::ready(const peers::Identity& identity) {
+  if (!settings_ || state_) return;
+  state_.emplace(*settings_, identity.incarnation << kNumbersOfALife, seed_ ^ identity.disk, context_.now);
+  look_at_peers();
+  for (const PolicyOut& out : std::exchange(early_, {})) take(out);
+  take(agreed::Due{});
+}
+
+void Agreeing::take(const agreed::Input& input) {
+  if (!state_) return;
+  for (agreed::Effect& effect : state_->take(context_.now, input))
+    std::visit([this](auto& e) { pass_on(e); }, effect);
+}
+
+void Agreeing::take(const PolicyOut& out) {
+  if (!settings_) return;
+  for (const std::string& line : out.log) context_.log(line);
+  for (const auto& [to, bytes] : out.send) peering_.carry(to, bytes);
+  voters_ = out.voters;
+  log_id_ = out.id;
+  for (const auto& [connection, status, text] : out.answers) answers_.emplace_back(connection, status, text);
+  if (!state_) {
+    early_.push_back({{}, out.inputs, {}, {}, {}, 0});
+    return;
+  }
+  for (const agreed::Input& input : out.inputs) take(input);
+}
+
+void Agreeing::heard(const peers::Carried& carried) {
+  if (!state_) return;
+  bool unlike = false;
+  auto decoded = agreed::decode(carried.payload, settings_->lease, &unlike);
+  if (!decoded) {
+    // Guards the log against one that says so again and again.
+    if (unlike_++ % 1000 == 0)
+      context_.log("policy refused from=" + carried.from +
+                   (unlike ? " its leases are other than here: peers of a cluster need the same" : " malformed"));
+    return;
+  }
+  if (auto* message = std::get_if<agreed::Message>(&*decoded)) {
+    take(agreed::Heard{carried.from, std::move(*message)});
+  } else if (auto* log = std::get_if<agreed::ForLog>(&*decoded)) {
+    context_.effects.emplace_back(PolicyEffect{std::move(*log)});
+  } else {
+    context_.effects.emplace_back(PolicyEffect{BirthFrom{carried.from, std::get<agreed::ForBirth>(*decoded)}});
+  }
+}
+
+void Agreeing::look_at_peers() {
+  if (!state_) return;
+  std::map<std::string, bool> members = peering_.members();
+  if (members == members_) return;
+  members_ = std::move(members);
+  take(agreed::Members{members_});
+}
+
+void Agreeing::run_due() {
+  if (state_ && state_->next_due() <= context_.now) take(agreed::Due{});
+}
+
+std::optional<Time> Agreeing::next_due() const {
+  if (!state_) return std::nullopt;
+  return state_->next_due();
+}
+
+void Agreeing::pass_on(agreed::Send& e) { peering_.carry(e.to, agreed::encode(e.message, settings_->lease)); }
+
+void Agreeing::pass_on(agreed::Decide& e) {
+  if (deciding_) before_ = deciding_;
+  if (deciding_ != e.epoch) changed_at_ = context_.now;
+  deciding_ = e.epoch;
+  if (!e.epoch) return;
+  // It was checked before it was prepared, here as well; one that was down then learns it as it is.
+  try {
+    changed_ = read_policy_terms(e.policy, start_);
+  } catch (const FieldError& problem) {
+    context_.log("policy unusable here, nothing is decided: " + std::string(problem.what()));
+    deciding_.reset();
+  }
+}
+
+std::optional<agreed::Epoch> Agreeing::epoch() const {
+  if (!state_ || !deciding_) return std::nullopt;
+  const auto now = state_->decides(context_.now);
+  return now == deciding_ ? now : std::nullopt;
+}
+
+bool Agreeing::may_attempt(agreed::Epoch taken_under) const {
+  if (!on() || epoch() == taken_under) return true;
+  // Its lease may have run out since anything was told.
+  const Time ended = deciding_ == taken_under ? std::max(changed_at_, state_->lease().until()) : changed_at_;
+  return context_.now - ended < kAttemptsAfterEpoch && (deciding_ == taken_under || before_ == taken_under);
+}
+
+std::optional<PolicyTerms> Agreeing::changed_terms() { return std::exchange(changed_, std::nullopt); }
+
+// ---- Operators ----
+
+void Agreeing::put(ConnectionId connection, const std::string& body) {
+  if (!state_) {
+    answers_.emplace_back(connection, on() ? 503 : 404, on() ? "not ready\n" : "no policy is configured\n");
+    return;
+  }
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(body.data(), body.size());
+  try {
+    if (document.HasParseError()) throw FieldError("field '': not JSON");
+    const Fields root(document, 0);
+    rapidjson::StringBuffer text;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+    root.need("policy").Accept(writer);
+    const std::int64_t base = root.integer("base");
+    if (base < 0) root.fail("base", "should be 0 or more");
+    take(agreed::Put{connection, root.text("key"), static_cast<agreed::Epoch>(base), text.GetString()});
+  } catch (const FieldError& problem) {
+    answers_.emplace_back(connection, 400, std::string(problem.what()) + "\n");
+  }
+}
+
+void Agreeing::abort(ConnectionId connection) {
+  if (state_) {
+    take(agreed::AbortCalled{connection});
+  } else {
+    answers_.emplace_back(connection, 404, "no policy is configured\n");
+  }
+}
+
+void Agreeing::voter(ConnectionId connection, const std::string& name, bool add) {
+  if (state_) {
+    context_.effects.emplace_back(PolicyEffect{VoterWanted{connection, name, add}});
+  } else {
+    answers_.emplace_back(connection, 404, "no policy is configured\n");
+  }
+}
+
+std::optional<std::string> Agreeing::report() const {
+  if (!state_) return std::nullopt;
+  const agreed::Register& at = state_->at();
+  rapidjson::StringBuffer text;
+  rapidjson::Writer<rapidjson::StringBuffer> json(text);
+  const auto put_text = [&json](const char* key, const std::string& value) {
+    json.Key(key);
+    json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  json.StartObject();
+  json.Key("epoch"), json.Uint64(at.epoch());
+  put_text("key", at.key());
+  put_text("policy", at.policy());
+  json.Key("decides"), json.Bool(epoch().has_value());
+  put_text("leader", state_->leader());
+  json.Key("log_index"), json.Uint64(at.index());
+  put_text("log_id", std::to_string(log_id_));
+  json.Key("voters"), json.StartObject();
+  for (const auto& [name, id] : voters_) put_text(name.c_str(), std::to_string(id));
+  json.EndObject();
+  if (at.change()) {
+    json.Key("change"), json.StartObject();
+    put_text("key", at.change()->key);
+    put_text("state", at.change()->committed ? "committed" : "proposed");
+    json.Key("epoch"), json.Uint64(at.change()->epoch);
+    json.EndObject();
+  }
+  if (state_->steward()) {
+    json.Key("prepared"), json.StartArray();
+    for (const std::string& name : state_->steward()->ready())
+      json.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    json.EndArray();
+    json.Key("waits_for"), json.StartArray();
+    for (const std::string& who : state_->steward()->waits(at, state_->members(), context_.now))
+      json.String(who.data(), static_cast<rapidjson::SizeType>(who.size()));
+    json.EndArray();
+  }
+  json.EndObject();
+  return std::string(text.GetString(), text.GetSize()) + "\n";
+}
+
+std::string Agreeing::figures() const {
+  std::string text;
+  if (!state_) return text;
+  const auto tell = [&text](const char* name, std::uint64_t value, const char* kind) {
+    text.append("svc.policy.").append(name).append(":").append(std::to_string(value)).append(kind).append("\n");
+  };
+  const agreed::Counts& c = state_->counts();
+  tell("epoch", state_->at().epoch(), "|g");
+  tell("decides", epoch() ? 1 : 0, "|g");
+  tell("leads", state_->steward() ? 1 : 0, "|g");
+  tell("log_index", state_->at().index(), "|g");
+  tell("asks", c.asks, "|c");
+  tell("grants", c.grants, "|c");
+  tell("lapses", c.lapses, "|c");
+  tell("broken_promises", c.broken, "|c");
+  tell("changes", c.changes, "|c");
+  tell("aborts", c.aborts, "|c");
+  return text;
+}
+
+}  // namespace dahliahall::edge
--- a/src/edge/membership.cpp
+++ b/src/edge/membership.cpp
@@ -11,9 +11,10 @@
 
 codec::ListedMember Membership::as_told(const codec::ListedMember& listed) const {
   const auto found = by_hand_.find(listed.member.id);
-  if (found == by_hand_.end()) return listed;
+  const bool agreed_out = agreed_out_.count(listed.member.id) != 0;
+  if (found == by_hand_.end() && !agreed_out) return listed;
   codec::ListedMember told = listed;
-  if (found->second.out) {
+  if (agreed_out || found->second.out) {
     if (told.member.state == MemberState::running) told.member.state = MemberState::draining;
   } else {
     // Guards against pushing over a member that was restarted while it was out, of which the bulletin may not
@@ -60,6 +61,18 @@
   return {false, {as_told(listed->second)}};
 }
 
+codec::Roster Membership::set_agreed(std::set<std::string> out, Time now) {
+  const std::set<std::string> before = std::exchange(agreed_out_, std::move(out));
+  for (const std::string& id : before) {
+    if (agreed_out_.count(id) == 0 && !suspended(id) && by_hand_.size() < kMostByHand) by_hand_[id] = {false, now};
+  }
+  codec::Roster changed;
+  for (const auto& [id, listed] : listed_) {
+    if (before.count(id) != agreed_out_.count(id)) changed.members.push_back(as_told(listed));
+  }
+  return changed;
+}
+
 std::optional<codec::Roster> Membership::suspend(const std::string& id, Time now) {
   if (!known(id) || (by_hand_.size() >= kMostByHand && by_hand_.count(id) == 0)) return std::nullopt;
   if (!suspended(id)) by_hand_[id] = {true, now};  // said again, it changes nothing
--- a/src/edge/membership.h
+++ b/src/edge/membership.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,10 @@
   std::optional<codec::Roster> suspend(const std::string& id, Time now);
   std::optional<codec::Roster> resume(const std::string& id, Time now);
 
+  /// Those that the policy of the whole fleet takes out; what is to be told of the differences. One that comes back
+  /// counts as started at that moment, as where an operator puts it back.
+  codec::Roster set_agreed(std::set<std::string> out, Time now);
+
   /// What outlives the process, and what another process has kept meanwhile. The latter gives what is to be
   /// told of the differences.
   [[nodiscard]] std::string kept() const;
@@ -48,6 +53,7 @@
 
   std::map<std::string, codec::ListedMember> listed_;
   std::map<std::string, ByHand> by_hand_;
+  std::set<std::string> agreed_out_;
   std::deque<std::string> left_;  // the ids that left last
 };
 
--- a/src/edge/operators.cpp
+++ b/src/edge/operators.cpp
@@ -45,6 +45,22 @@
                                                         : "it is not dead: stop it first\n");
       break;
     }
+    case AdminWord::policy: {
+      const auto report = parts_.agreeing.report();
+      admin.answer(connection, report ? 200 : 404, report ? *report : "no policy is configured\n");
+      break;
+    }
+    // Answered once it is known what became of it.
+    case AdminWord::put_policy:
+      parts_.agreeing.put(connection, call.body);
+      break;
+    case AdminWord::abort_policy:
+      parts_.agreeing.abort(connection);
+      break;
+    case AdminWord::add_voter:
+    case AdminWord::remove_voter:
+      parts_.agreeing.voter(connection, call.member, call.word == AdminWord::add_voter);
+      break;
     case AdminWord::unknown:
       admin.answer(connection, 404, "no such call\n");
       break;
@@ -72,7 +88,7 @@
   tell_of("inflight", parts_.requests.open(), "|g");
   tell_of("hosts_listed", parts_.pool.members(), "|g");
   tell_of("hosts_down", parts_.pool.not_running() + parts_.router.beliefs().shut, "|g");
-  return text + parts_.peering.figures();
+  return text + parts_.peering.figures() + parts_.agreeing.figures();
 }
 
 }  // namespace dahliahall::edge
--- a/src/edge/operators.h
+++ b/src/edge/operators.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "edge/admin.h"
+#include "edge/agreeing.h"
 #include "edge/membership.h"
 #include "edge/peering.h"
 #include "edge/pool.h"
@@ -24,6 +25,7 @@
     Router& router;
     Membership& membership;
     Peering& peering;
+    Agreeing& agreeing;
   };
   explicit Operators(const Parts& parts) : parts_(parts) {}
 
--- a/src/edge/peering.cpp
+++ b/src/edge/peering.cpp
@@ -38,6 +38,15 @@
   if (state_ && state_->next_due() <= context_.now) take(peers::Due{});
 }
 
+std::map<std::string, bool> Peering::members() const {
+  std::map<std::string, bool> all;
+  if (!state_) return all;
+  for (const auto& [name, member] : state_->view().members()) {
+    if (peers::registered(member.news.state)) all[name] = member.news.state == peers::Liveness::alive;
+  }
+  return all;
+}
+
 std::optional<Time> Peering::next_due() const {
   if (!state_ || state_->next_due() == Time::max()) return std::nullopt;
   return state_->next_due();
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -4,8 +4,10 @@
 /// operators ask of it. Without the section `peers` it holds nothing and does nothing.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "edge/context.h"
 #include "peers/reducer.h"
@@ -25,6 +27,12 @@
   /// by the settings.
   std::optional<Portion> changed_portion(int fleet, int here);
   void stop();
+  /// Bytes of another part, for that member.
+  void carry(const std::string& to, std::string bytes) { take(peers::Carry{to, std::move(bytes)}); }
+  /// What members had carried here since.
+  std::vector<peers::Carried> carried() { return std::exchange(carried_, {}); }
+  /// The registered members, and whether each is reached.
+  [[nodiscard]] std::map<std::string, bool> members() const;
 
   /// JSON for operators; none where there are no peers, or not yet.
   [[nodiscard]] std::optional<std::string> report() const;
@@ -39,11 +47,13 @@
   void pass_on(peers::Answer& e) { context_.effects.emplace_back(PeersEffect{std::move(e)}); }
   void pass_on(peers::Log& e) { context_.log(std::move(e.line)); }
   void pass_on(peers::Keep&) { keep_ = true; }
+  void pass_on(peers::Carried& e) { carried_.push_back(std::move(e)); }
 
   Context& context_;
   std::optional<peers::Settings> settings_;
   std::uint64_t seed_;
   std::optional<peers::State> state_;
+  std::vector<peers::Carried> carried_;
   bool keep_ = false;
   bool told_ = false;
   bool asked_anew_ = true;  // the shares may have changed
--- /dev/null
+++ b/src/edge/policy_text.h
@@ -0,0 +1,22 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// What a policy says: those settings that a running proxy takes over whole (docs/agreed.md, "The policy").
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "dahliahall/choice.h"
+
+namespace dahliahall::edge {
+
+struct PolicyTerms {
+  Settings settings;                     ///< those of the start, with what the policy says in their place
+  std::set<std::size_t> refused_classes;
+  std::set<std::string> out;             ///< caches out for the whole fleet
+};
+
+/// Throws FieldError, which names the key, where this proxy could not run it. An empty text says nothing.
+PolicyTerms read_policy_terms(const std::string& text, const Settings& start);
+
+}  // namespace dahliahall::edge
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 
 #include "edge/admin.h"
+#include "edge/agreeing.h"
 #include "edge/bulletin_link.h"
 #include "edge/context.h"
 #include "edge/copies.h"
@@ -55,7 +57,8 @@
         bulletin_(context_, config),
         copies_(config),
         peering_(context_, config),
-        operators_({context_, admin_, requests_, pool_, router_, membership_, peering_}) {
+        agreeing_(context_, peering_, config),
+        operators_({context_, admin_, requests_, pool_, router_, membership_, peering_, agreeing_}) {
     context_.now = now;
     context_.log("starting name=" + config.name + " listen=" + config.listen +
                  " known=" + std::to_string(config.known_number));
@@ -76,6 +79,9 @@
     const bool stood_still = now - context_.now >= kStandstill;
     if (stood_still) context_.log("stood still ms=" + std::to_string((now - context_.now).count() / 1000));
     context_.now = std::max(context_.now, now);
+    // What is agreed goes before all that is decided: a lease may have run out meanwhile.
+    agreeing_.run_due();
+    apply_terms();
     apply_portion();
     if (stood_still) {
       bulletin_.excuse();
@@ -86,6 +92,7 @@
     std::visit([this](const auto& in) { on(in); }, input);
     run_timers();
     peering_.run_due();
+    agree();
     apply_portion();
     settle();
     stop_when_done();
@@ -205,14 +212,42 @@
       tell(*portion);
   }
 
-  void on(const PeersReady& in) { peering_.ready(in.identity); }
+  /// What members had carried here, who is reached, what is due; then the terms that have come to hold.
+  void agree() {
+    if (!agreeing_.on()) return;
+    for (const peers::Carried& carried : peering_.carried()) agreeing_.heard(carried);
+    agreeing_.look_at_peers();
+    agreeing_.run_due();
+    apply_terms();
+    for (const auto& [connection, status, text] : agreeing_.answers()) {
+      if (admin_.owns(connection)) admin_.answer(connection, status, text);
+    }
+  }
+
+  /// The module takes another policy as one input, between two requests.
+  void apply_terms() {
+    auto terms = agreeing_.changed_terms();
+    if (!terms) return;
+    running_.settings = std::move(terms->settings);
+    refused_classes_ = std::move(terms->refused_classes);
+    tell(Resettle{settings_});
+    const codec::Roster changed = membership_.set_agreed(std::move(terms->out), context_.now);
+    if (!changed.members.empty()) spread(changed, ListKind::changes);
+    settle();
+  }
+
+  void on(const PolicyOut& in) { agreeing_.take(in); }
+  void on(const PeersReady& in) {
+    peering_.ready(in.identity);
+    agreeing_.ready(in.identity);
+  }
   void on(const PeersInput& in) { peering_.take(in.input); }
 
   void on_admin(ConnectionId connection, const AdminCall& call) {
     const codec::Roster changed = operators_.act(call, context_.now);
     if (!changed.members.empty()) spread(changed, ListKind::changes);
     settle();
-    operators_.answer(connection, call, listed_ && !stopping_);
+    operators_.answer(connection, call, listed_ && !stopping_ && agreeing_.decides());
   }
 
   // ---- Timers ----
@@ -294,7 +329,9 @@
 
   void arm() {
     auto due = context_.timers.next_due();
-    if (const auto peers = peering_.next_due(); peers && (!due || *peers < *due)) due = peers;
+    for (const auto& other : {peering_.next_due(), agreeing_.next_due()}) {
+      if (other && (!due || *other < *due)) due = other;
+    }
     if (!due || armed_ == *due) return;
     armed_ = *due;
     context_.effects.push_back(ArmTimer{*due});
@@ -327,6 +364,13 @@
       requests_.turn_back(front, call);
       return;
     }
+    // Guards everywhere or nowhere: without a lease on the active epoch nothing is decided, and a class that the policy
+    // refuses is refused.
+    if (!agreeing_.decides() || refused_classes_.count(requests_.class_of(call)) != 0) {
+      ++seen_.turned_away;
+      requests_.turn_back(front, call);
+      return;
+    }
     // Guards what is taken late against the end of the process: it would never be answered.
     std::optional<Taken> taken =
         requests_.read(front, call, stopping_ ? std::optional<Time>(stop_by_) : std::nullopt);
@@ -343,6 +387,8 @@
     }
     ++seen_.taken;
     Request request = taken->request;
+    taken->epoch = agreeing_.epoch().value_or(0);
+    if (agreeing_.traces()) trace("taken", request.id, taken->epoch);
     // Guards the rule on purges: without its news a copy may be older than one that counts as told.
     if (!request.write && taken->key.empty() && taken->body.empty() && bulletin_.heard() &&
         copies_.find(key_of(request), context_.now, max_age_of(request)) != nullptr)
@@ -353,6 +399,12 @@
     settle();
   }
 
+  /// For those who hold all proxies' decisions against each other.
+  void trace(const char* what, const std::string& request, std::uint64_t epoch) {
+    context_.log(std::string("decided what=") + what + " request=" + request + " epoch=" + std::to_string(epoch) +
+                 " now_us=" + std::to_string(context_.now.count()));
+  }
+
   static Copies::Key key_of(const Request& r) {
     return {static_cast<std::size_t>(r.request_class), r.object, r.part};
   }
@@ -363,7 +415,7 @@
   void on_call(ConnectionId front, const GivenUp& call) { withdraw(fronts_.release(front, call.tag)); }
 
   void on_call(ConnectionId front, const ReadinessAsked& call) {
-    fronts_.answer(front, fronts_.protocol(front)->readiness(call.tag, listed_ && !stopping_));
+    fronts_.answer(front, fronts_.protocol(front)->readiness(call.tag, listed_ && !stopping_ && agreeing_.decides()));
   }
 
   void on_call(ConnectionId front, const NotUnderstood& call) {
@@ -511,6 +563,9 @@
       order.group = taken.request.group;
       order.until = taken.request.expires;
       if (a.timeout > Time{0}) order.until = std::min(order.until, context_.now + a.timeout);
+      // Guards the next epoch against what goes on under the one before: it is unsent.
+      if (!agreeing_.may_attempt(taken.epoch)) order.until = context_.now;
+      if (agreeing_.traces()) trace(order.until > context_.now ? "attempt" : "unsent", a.request, taken.epoch);
       order.body = taken.body;
       add_fields(order.fields, taken, a);
     }
@@ -574,6 +629,8 @@
   BulletinLink bulletin_;
   Copies copies_;
   Peering peering_;
+  Agreeing agreeing_;
+  std::set<std::size_t> refused_classes_;  // by the policy
   Operators operators_;
   struct Seen {
     int taken = 0, attempts = 0, served = 0, own = 0, refused = 0, turned_away = 0, failed = 0;
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -7,12 +7,16 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "agreed/raft_log.h"
 #include "config/config.h"
 #include "peers/reducer.h"
 
@@ -95,8 +99,17 @@
 struct PeersInput {
   peers::Input input;
 };
+/// What the policy's log has come to, beside the loop.
+struct PolicyOut {
+  std::vector<std::pair<std::string, std::string>> send;  ///< to that member, these bytes
+  std::vector<agreed::Input> inputs;
+  std::vector<std::string> log;
+  std::map<std::string, std::uint64_t> voters;  ///< names and ids, as the log has them
+  std::vector<std::tuple<ConnectionId, int, std::string>> answers;
+  std::uint64_t id = 0;  ///< this proxy's own
+};
 using Input = std::variant<Accepted, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed, TimerDue,
-                           StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput>;
+                           StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput, PolicyOut>;
 
 // ---- Effects, to be carried out in order ----
 
@@ -142,8 +155,22 @@
 };
 /// The peers' sockets close.
 struct PeersStop {};
+struct BirthFrom {
+  std::string from;
+  agreed::ForBirth message;
+};
+/// An operator's word on a voter: `name=id` to be added, or a name to be removed.
+struct VoterWanted {
+  ConnectionId call = 0;
+  std::string name;
+  bool add = false;
+};
+/// For the policy's log.
+struct PolicyEffect {
+  std::variant<agreed::Append, agreed::AskTerm, agreed::Learn, agreed::ForLog, BirthFrom, VoterWanted> effect;
+};
 using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep, PeersEffect, PeersKeep,
-                            PeersStop>;
+                            PeersStop, PolicyEffect>;
 
 /// The state of an edge proxy.
 class State {
--- a/src/edge/requests.cpp
+++ b/src/edge/requests.cpp
@@ -161,13 +161,15 @@
   answer(request, Final::failed, [](FrontProtocol& front, CallTag tag) { return front.failed(tag); });
 }
 
+std::size_t Requests::class_of(const Asked& call) const { return class_of(FieldReader(call.fields).text("verb")); }
+
 void Requests::turn_back(ConnectionId front, const Asked& call) {
-  count(class_of(FieldReader(call.fields).text("verb")), Final::refused);
+  count(class_of(call), Final::refused);
   fronts_.answer(front, fronts_.protocol(front)->refused(call.tag, later(settings_.max_retry_after)));
 }
 
 void Requests::turn_away(ConnectionId front, const Asked& call) {
-  count(class_of(FieldReader(call.fields).text("verb")), Final::failed);
+  count(class_of(call), Final::failed);
   fronts_.answer(front, fronts_.protocol(front)->failed(call.tag));
 }
 
--- a/src/edge/requests.h
+++ b/src/edge/requests.h
@@ -24,6 +24,7 @@
   std::string verb, item, piece, key, held_tag, body;
   Request request;
   int attempts = 0;
+  std::uint64_t epoch = 0;  ///< of the policy, under which it was taken
 };
 
 class Requests {
@@ -58,6 +59,7 @@
   void failed(const std::string& request);
 
   // Answers to calls that are not taken.
+  [[nodiscard]] std::size_t class_of(const Asked& call) const;
   void turn_back(ConnectionId front, const Asked& call);  ///< refused
   void turn_away(ConnectionId front, const Asked& call);  ///< failed
 
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -246,7 +246,8 @@
     watch(stream);
     return true;
   }
-  const std::size_t most = (2 * config_.settings.max_members + 2) * kBytesOfMember;
+  const std::size_t most =
+      std::max((2 * config_.settings.max_members + 2) * kBytesOfMember, config_.most_carried);
   std::array<char, kReadAtOnce> buffer;
   while (true) {
     const gssize size =
@@ -258,6 +259,8 @@
   }
   const std::uint64_t id = stream.id;
   const bool asked_here = stream.asked_here;
+  // To what was carried there is no answer.
+  if (asked_here && stream.in.empty()) return false;
   stream.source.reset();
   const std::string bytes = std::move(stream.in);
   hear(bytes, most, stream.from, asked_here ? 0 : id);
--- /dev/null
+++ b/src/net/policy_log.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: MIT
+#include "net/policy_log.h"
+
+#include <glib.h>
+
+#include <charconv>
+#include <chrono>
+#include <cstring>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace dahliahall::net {
+namespace {
+
+constexpr std::chrono::milliseconds kTick{50};
+constexpr std::chrono::milliseconds kTryEvery{200};  // while another process has the folder
+constexpr std::size_t kMostWork = 4096;              // what waits for a slow disk, at most
+constexpr std::size_t kMostRecord = std::size_t{1} << 20U;
+
+agreed::Time now() {
+  return std::chrono::duration_cast<agreed::Time>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace
+
+PolicyLog::PolicyLog(const config::Policy& config, std::uint64_t seed,
+                     std::function<void(edge::PolicyOut)> told)
+    : config_(config), seed_(seed), told_(std::move(told)), alive_(std::make_shared<PolicyLog*>(this)) {
+  thread_ = std::thread([this] { run(); });
+}
+
+PolicyLog::~PolicyLog() {
+  *alive_ = nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  thread_.join();
+}
+
+void PolicyLog::push(Work work) {
+  {
+    const std::lock_guard lock(mutex_);
+    // Guards the memory against a disk that hangs: what is lost here is as good as lost on the way.
+    if (work_.size() >= kMostWork) return;
+    work_.push_back(std::move(work));
+  }
+  wake_.notify_one();
+}
+
+void PolicyLog::tell(edge::PolicyOut out) {
+  struct Parcel {
+    std::shared_ptr<PolicyLog*> to;
+    edge::PolicyOut out;
+  };
+  auto* parcel = new Parcel{alive_, std::move(out)};
+  g_main_context_invoke_full(
+      nullptr, G_PRIORITY_DEFAULT,
+      [](gpointer data) -> gboolean {
+        auto* p = static_cast<Parcel*>(data);
+        if (*p->to != nullptr) (*p->to)->told_(std::move(p->out));
+        return G_SOURCE_REMOVE;
+      },
+      parcel, [](gpointer data) { delete static_cast<Parcel*>(data); });
+}
+
+void PolicyLog::perform(const edge::PolicyEffect& effect) {
+  if (const auto* append = std::get_if<agreed::Append>(&effect.effect)) {
+    push([entry = append->entry](auto& log, auto at, auto&, auto& out) { log.append(at, entry, out); });
+  } else if (const auto* ask = std::get_if<agreed::AskTerm>(&effect.effect)) {
+    push([asked = *ask, lease = config_.settings.lease, name = config_.settings.name](auto& log, auto, auto& told,
+                                                                                     auto&) {
+      if (!log.confirms(asked.confirm.term)) return;
+      const agreed::Confirmed yes{asked.confirm.term, asked.confirm.round};
+      if (asked.from == name) {
+        told.inputs.emplace_back(agreed::Heard{name, yes});
+      } else {
+        told.send.emplace_back(asked.from, agreed::encode(yes, lease));
+      }
+    });
+  } else if (const auto* learn = std::get_if<agreed::Learn>(&effect.effect)) {
+    push([what = *learn](auto& log, auto at, auto&, auto& out) { log.learn(at, what, out); });
+  } else if (const auto* message = std::get_if<agreed::ForLog>(&effect.effect)) {
+    push([m = *message](auto& log, auto at, auto&, auto& out) { log.heard(at, m, out); });
+  } else if (const auto* birth = std::get_if<edge::BirthFrom>(&effect.effect)) {
+    push([b = *birth](auto& log, auto at, auto&, auto& out) { log.heard(at, b.from, b.message, out); });
+  } else if (const auto* wanted = std::get_if<edge::VoterWanted>(&effect.effect)) {
+    push([w = *wanted](auto& log, auto, auto& told, auto& out) {
+      const std::size_t sign = w.name.find('=');
+      std::uint64_t id = 0;
+      if (sign != std::string::npos) std::from_chars(w.name.data() + sign + 1, w.name.data() + w.name.size(), id);
+      const bool begun = w.add ? log.add_voter(w.name.substr(0, sign), id, out) : log.remove_voter(w.name, out);
+      told.answers.emplace_back(w.call, begun ? 202 : 409,
+                                begun ? "begun: see the log and GET /v1/policy\n"
+                                      : "ask the leader, with NAME=ID to add, while no other voter changes\n");
+    });
+  }
+}
+
+void PolicyLog::run() {
+  storage::SystemFolder folder(config_.folder);
+  std::string waits_for;
+  const auto wait = [this](std::chrono::milliseconds span) {
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, span, [this] { return stopping_; });
+    return !stopping_;
+  };
+  // The process that this one replaces has it until it ends.
+  while (const int error = folder.lock()) {
+    const std::string why = std::strerror(error);
+    if (why != waits_for) tell({{}, {}, {"policy wait: the folder can't be taken: " + why}, {}, {}, 0});
+    waits_for = why;
+    if (!wait(kTryEvery)) return;
+  }
+  storage::Journal journal(folder, "policy-" + config_.settings.name, kMostRecord);
+  agreed::RaftLog::Settings settings;
+  settings.name = config_.settings.name;
+  settings.first = config_.settings.voters;
+  settings.lease = config_.settings.lease;
+  settings.seed = seed_ ^ static_cast<std::uint64_t>(now().count()) ^ std::random_device{}();
+  agreed::RaftLog log(settings, journal, now());
+  std::map<std::string, std::uint64_t> voters;
+  const auto pass_on = [&](edge::PolicyOut told, agreed::RaftLog::Out& out) {
+    for (auto& s : out.send) told.send.push_back(std::move(s));
+    for (auto& i : out.inputs) told.inputs.push_back(std::move(i));
+    for (auto& l : out.log) told.log.push_back(std::move(l));
+    auto are = log.voters();
+    const bool changed = are != voters;
+    voters = std::move(are);
+    if (told.send.empty() && told.inputs.empty() && told.log.empty() && told.answers.empty() && !changed) return;
+    told.voters = voters;
+    told.id = log.id();
+    tell(std::move(told));
+  };
+  {
+    agreed::RaftLog::Out out;
+    log.open(out);
+    out.log.push_back("policy log ready id=" + std::to_string(log.id()) + " has_log=" + (log.runs() ? "1" : "0"));
+    pass_on({}, out);
+  }
+  while (true) {
+    std::deque<Work> work;
+    {
+      std::unique_lock lock(mutex_);
+      wake_.wait_for(lock, kTick, [this] { return stopping_ || !work_.empty(); });
+      if (stopping_) return;
+      work.swap(work_);
+    }
+    edge::PolicyOut told;
+    agreed::RaftLog::Out out;
+    for (const Work& w : work) w(log, now(), told, out);
+    log.tick(now(), out);
+    pass_on(std::move(told), out);
+  }
+}
+
+}  // namespace dahliahall::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -173,6 +173,10 @@
                        [this](peers::Input input) { take(edge::PeersInput{std::move(input)}); },
                        [this](const std::string& line) { perform(edge::Log{line}); }});
   }
+  if (config.policy) {
+    policy_ = std::make_unique<PolicyLog>(*config.policy, config.seed,
+                                          [this](edge::PolicyOut out) { take(std::move(out)); });
+  }
   hangup_ = Source(g_unix_signal_source_new(SIGHUP));
   g_source_set_callback(
       hangup_.get(),
@@ -488,6 +492,10 @@
   if (peers_) peers_->keep(keep.self, keep.members);
 }
 
+void Server::perform(const edge::PolicyEffect& effect) {
+  if (policy_) policy_->perform(effect);
+}
+
 void Server::perform(const edge::PeersStop&) {
   if (peers_) peers_->stop();
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -14,6 +14,7 @@
 #include "net/glib_ptr.h"
 #include "net/kept_file.h"
 #include "net/peer_link.h"
+#include "net/policy_log.h"
 
 namespace dahliahall::net {
 
@@ -86,6 +87,7 @@
   void perform(const edge::PeersEffect& effect);
   void perform(const edge::PeersKeep& keep);
   void perform(const edge::PeersStop& stop);
+  void perform(const edge::PolicyEffect& effect);
 
   Source watch_listener(GSocket* listener, int priority, GSocketSourceFunc dispatch);
   void accept();
@@ -110,7 +112,8 @@
   Poller poller_;
   Source polling_, accepting_, admin_accepting_, timer_, term_, interrupt_, hangup_, looking_;
   KeptFile kept_;
-  std::unique_ptr<PeerLink> peers_;  // none unless configured
+  std::unique_ptr<PeerLink> peers_;    // none unless configured
+  std::unique_ptr<PolicyLog> policy_;  // likewise
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
   std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
   bool busy_ = false;
--- a/src/peers/reducer.cpp
+++ b/src/peers/reducer.cpp
@@ -156,6 +156,11 @@
     case Kind::ask:
       on_ask(m);
       break;
+    case Kind::carry:
+      // Guards what others build on membership: who is not, or no more, a member has no part in it.
+      if (registered(sender->news.state) && sender->news.disk == m.from.disk)
+        effects_.emplace_back(Carried{m.from.name, m.payload});
+      break;
     case Kind::gossip:
     case Kind::whole:
     case Kind::whole_answer:
@@ -201,6 +206,18 @@
   merge(news, "an operator's word");
 }
 
+void State::on(const Carry& in) {
+  const Member* member = view_.find(in.to);
+  if (member == nullptr || !registered(member->news.state) || !takes_part()) return;
+  Message m = message(Kind::carry, in.to, 0);
+  m.payload = in.payload;
+  if (head_size(m, settings_.cluster) <= settings_.datagram) {
+    effects_.emplace_back(Send{address_of(in.to), std::move(m)});
+  } else if (reachable(member->news.state)) {
+    effects_.emplace_back(Exchange{address_of(in.to), std::move(m)});
+  }
+}
+
 void State::on_ping(const Message& m) {
   if (recount_) count_members();
   Message ack = message(Kind::ack, m.from.name, m.number);
--- a/src/peers/reducer.h
+++ b/src/peers/reducer.h
@@ -41,7 +41,11 @@
 struct Forget {
   std::string name;
 };
-using Input = std::variant<Heard, Refused, Due, StopAsked, Forget>;
+/// Bytes of another subsystem, for a registered member: by datagram where they fit, else over a stream. They may be lost.
+struct Carry {
+  std::string to, payload;
+};
+using Input = std::variant<Heard, Refused, Due, StopAsked, Forget, Carry>;
 
 // ---- Effects ----
 
@@ -63,7 +67,11 @@
 };
 /// What is to outlive the process has changed: see kept().
 struct Keep {};
-using Effect = std::variant<Send, Exchange, Answer, Log, Keep>;
+/// What a registered member had carried here.
+struct Carried {
+  std::string from, payload;
+};
+using Effect = std::variant<Send, Exchange, Answer, Log, Keep, Carried>;
 
 /// Who this process is. The incarnation is greater than any that it has used with this disk.
 struct Identity {
@@ -126,6 +134,7 @@
   void on(const Due&) {}
   void on(const StopAsked&);
   void on(const Forget& in);
+  void on(const Carry& in);
 
   void on_ping(const Message& message);
   void on_ack(const Message& message);
--- a/src/peers/types.h
+++ b/src/peers/types.h
@@ -65,9 +65,10 @@
   ask,     ///< ping `target` for me
   gossip,  ///< news alone
   whole,   ///< all that is known, over a stream; answered by the like
-  whole_answer
+  whole_answer,
+  carry  ///< `payload` is another subsystem's, for that member
 };
-constexpr std::size_t kKinds = 7;
+constexpr std::size_t kKinds = 8;
 
 struct Message {
   Kind kind = Kind::ping;
@@ -81,6 +82,7 @@
   std::uint64_t counts = 0;  ///< the disk under which the receiver is counted; 0: it is not
   std::uint64_t names = 0;   ///< of the names that the sender counts
   bool sure = false;         ///< the sender is counted by all
+  std::string payload;       ///< of carry
 };
 
 }  // namespace dahliahall::peers
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -81,7 +81,7 @@
 
 std::size_t head_size(const Message& message, const std::string& cluster) {
   return 2 * kFixed + cluster.size() + message.to.size() + size_of(message.from) + message.target.size() +
-         message.target_address.size();
+         message.target_address.size() + message.payload.size();
 }
 
 std::string encode(const Message& message, const std::string& cluster) {
@@ -98,6 +98,7 @@
   packet.set_counts(message.counts);
   packet.set_names(message.names);
   packet.set_sure(message.sure);
+  packet.set_payload(message.payload);
   wire::Envelope envelope;
   envelope.set_version(kVersion);
   packet.SerializeToString(envelope.mutable_packet());
@@ -134,6 +135,8 @@
   message.counts = packet.counts();
   message.names = packet.names();
   message.sure = packet.sure();
+  if ((message.kind == Kind::carry) == packet.payload().empty()) return Refusal::bad_field;
+  message.payload = packet.payload();
   message.news.resize(static_cast<std::size_t>(packet.news_size()));
   for (int i = 0; i < packet.news_size(); ++i) {
     if (!read(packet.news(i), message.news[static_cast<std::size_t>(i)])) return Refusal::bad_field;
--- a/tests/virtual_stage.h
+++ b/tests/virtual_stage.h
@@ -143,6 +143,7 @@
   void perform(const edge::PeersEffect&, std::vector<edge::Input>&) {}
   void perform(const edge::PeersKeep&, std::vector<edge::Input>&) {}
   void perform(const edge::PeersStop&, std::vector<edge::Input>&) {}
+  void perform(const edge::PolicyEffect&, std::vector<edge::Input>&) {}
   void perform(const edge::Log& e, std::vector<edge::Input>&) { log_ += e.line + "\n"; }
 
   Time now_{std::chrono::hours(500000)};
