--- a/src/agreed/reducer.cpp
+++ b/src/agreed/reducer.cpp
@@ -174,7 +174,6 @@
 void State::carry_out(Wish wish) {
   for (auto& [to, message] : wish.send) send(to, std::move(message));
   for (Entry& entry : wish.append) effects_.emplace_back(Append{std::move(entry)});
-  for (std::string& line : wish.log) log(std::move(line));
 }
 
 // ---- The member's side ----
@@ -283,7 +282,12 @@
 
 void State::tell_decision() {
   const auto now = decides(now_);
-  if (now && !lease_.held(now_)) counts_.broken += told_ == now && ever_told_ ? 0 : 1;
+  const bool broken = now && !lease_.held(now_);
+  if (broken && !broken_) {
+    ++counts_.broken;
+    log("policy goes on without a lease epoch=" + std::to_string(*now) + ": the promise is broken");
+  }
+  broken_ = broken;
   if (ever_told_ && now == told_) return;
   if (!now && !ever_told_) return;
   if (!now) ++counts_.lapses;
--- a/src/agreed/reducer.h
+++ b/src/agreed/reducer.h
@@ -191,6 +191,7 @@
   std::uint64_t pull_turn_, ask_turn_ = 0, unheard_ = 0;
   std::optional<Epoch> told_;
   bool ever_told_ = false;
+  bool broken_ = false;  // it decides without a lease
   Counts counts_;
   std::deque<Heard> to_self_;
   std::vector<Effect> effects_;
--- a/src/agreed/steward.h
+++ b/src/agreed/steward.h
@@ -19,7 +19,6 @@
 struct Wish {
   std::vector<std::pair<std::string, Message>> send;
   std::vector<Entry> append;
-  std::vector<std::string> log;
 };
 
 class Steward {
@@ -74,7 +73,6 @@
   Term term_;
   std::set<std::string> voters_;
   Time earlier_until_;  // leases of earlier leaders may last that long
-  Time began_;
 
   std::map<std::string, Holder> holders_;
   std::map<std::string, Waiting> waiting_;  // for a lease
--- a/src/edge/agreeing.cpp
+++ b/src/edge/agreeing.cpp
@@ -18,9 +18,9 @@
   if (!config.policy) return;
   settings_ = config.policy->settings;
   trace_ = config.policy->trace;
-  settings_->check = [start = start_](const std::string& policy) -> std::optional<std::string> {
+  settings_->check = [this](const std::string& policy) -> std::optional<std::string> {
     try {
-      read_policy_terms(policy, start);
+      read_policy_terms(policy, start_);
     } catch (const FieldError& problem) {
       return problem.what();
     }
@@ -32,7 +32,7 @@
   if (!settings_ || state_) return;
   state_.emplace(*settings_, identity.incarnation << kNumbersOfALife, seed_ ^ identity.disk, context_.now);
   look_at_peers();
-  for (const PolicyOut& out : std::exchange(early_, {})) take(out);
+  for (const agreed::Input& input : std::exchange(early_, {})) take(input);
   take(agreed::Due{});
 }
 
@@ -50,7 +50,7 @@
   log_id_ = out.id;
   for (const auto& [connection, status, text] : out.answers) answers_.emplace_back(connection, status, text);
   if (!state_) {
-    early_.push_back({{}, out.inputs, {}, {}, {}, 0});
+    early_.insert(early_.end(), out.inputs.begin(), out.inputs.end());
     return;
   }
   for (const agreed::Input& input : out.inputs) take(input);
@@ -79,11 +79,10 @@
 }
 
 void Agreeing::look_at_peers() {
-  if (!state_) return;
-  std::map<std::string, bool> members = peering_.members();
-  if (members == members_) return;
-  members_ = std::move(members);
-  take(agreed::Members{members_});
+  // Guards the request path against work that grows with the members.
+  if (!state_ || seen_ == peering_.revision()) return;
+  seen_ = peering_.revision();
+  take(agreed::Members{peering_.members()});
 }
 
 void Agreeing::run_due() {
@@ -98,13 +97,20 @@
 void Agreeing::pass_on(agreed::Send& e) { peering_.carry(e.to, agreed::encode(e.message, settings_->lease)); }
 
 void Agreeing::pass_on(agreed::Decide& e) {
-  if (deciding_) before_ = deciding_;
-  if (deciding_ != e.epoch) changed_at_ = context_.now;
+  if (deciding_ && deciding_ != e.epoch) {
+    before_ = deciding_;
+    // Guards the next epoch against a standstill: the one before ended when its lease did, not when that was
+    // seen.
+    const Time until = state_->lease().until();
+    ended_at_ = until > Time{0} ? std::min(context_.now, until) : context_.now;
+  }
   deciding_ = e.epoch;
-  if (!e.epoch) return;
+  // The module has the terms already where a lease on the same epoch comes back.
+  if (!e.epoch || terms_of_ == e.epoch) return;
   // It was checked before it was prepared, here as well; one that was down then learns it as it is.
   try {
     changed_ = read_policy_terms(e.policy, start_);
+    terms_of_ = e.epoch;
   } catch (const FieldError& problem) {
     context_.log("policy unusable here, nothing is decided: " + std::string(problem.what()));
     deciding_.reset();
@@ -120,8 +126,9 @@
 bool Agreeing::may_attempt(agreed::Epoch taken_under) const {
   if (!on() || epoch() == taken_under) return true;
   // Its lease may have run out since anything was told.
-  const Time ended = deciding_ == taken_under ? std::max(changed_at_, state_->lease().until()) : changed_at_;
-  return context_.now - ended < kAttemptsAfterEpoch && (deciding_ == taken_under || before_ == taken_under);
+  const bool untold = deciding_ == taken_under;
+  if (!untold && before_ != taken_under) return false;
+  return context_.now - (untold ? state_->lease().until() : ended_at_) < kAttemptsAfterEpoch;
 }
 
 std::optional<PolicyTerms> Agreeing::changed_terms() { return std::exchange(changed_, std::nullopt); }
--- a/src/edge/agreeing.h
+++ b/src/edge/agreeing.h
@@ -72,11 +72,12 @@
   std::uint64_t seed_;
   bool trace_ = false;
   std::optional<agreed::State> state_;
-  std::vector<PolicyOut> early_;  // of the log, before there is a state
-  std::map<std::string, bool> members_;
+  std::vector<agreed::Input> early_;  // of the log, before there is a state
+  std::uint64_t seen_ = 0;            // revision of the peers
   std::optional<PolicyTerms> changed_;
   std::optional<agreed::Epoch> deciding_, before_;  // under which it decides, and did before
-  Time changed_at_{0};
+  std::optional<agreed::Epoch> terms_of_;           // that the module has
+  Time ended_at_{0};                                // of before_
   std::uint64_t refused_here_ = 0, unlike_ = 0;
   std::map<std::string, std::uint64_t> voters_;
   std::uint64_t log_id_ = 0;
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -31,6 +31,8 @@
   void carry(const std::string& to, std::string bytes) { take(peers::Carry{to, std::move(bytes)}); }
   /// What members had carried here since.
   std::vector<peers::Carried> carried() { return std::exchange(carried_, {}); }
+  /// Another one where members() may have changed.
+  [[nodiscard]] std::uint64_t revision() const { return state_ ? state_->view().revision() : 0; }
   /// The registered members, and whether each is reached.
   [[nodiscard]] std::map<std::string, bool> members() const;
 
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -367,7 +367,8 @@
     // Guards everywhere or nowhere: without a lease on the active epoch nothing is decided, and a class that
     // the policy refuses is refused.
     if (!agreeing_.decides()) agreeing_.count_refused();
-    if (!agreeing_.decides() || refused_classes_.count(requests_.class_of(call)) != 0) {
+    const bool refused = !refused_classes_.empty() && refused_classes_.count(requests_.class_of(call)) != 0;
+    if (!agreeing_.decides() || refused) {
       ++seen_.turned_away;
       requests_.turn_back(front, call);
       return;
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -101,6 +101,7 @@
 }
 
 void View::count(const Member& member, int sign) {
+  ++revision_;
   const auto step = [sign](std::size_t& number) { sign > 0 ? ++number : --number; };
   if (peers::registered(member.news.state)) {
     step(registered_);
--- a/src/peers/view.h
+++ b/src/peers/view.h
@@ -79,6 +79,8 @@
   [[nodiscard]] Standing standing() const;
   /// Alike at two proxies whose views are alike, whatever the order in which they came to them.
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  /// Another one where a member came, went or changed.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
  private:
   void count(const Member& member, int sign);
@@ -89,7 +91,7 @@
   std::unordered_map<std::string, Member> members_;
   std::deque<std::string> gone_;  // marks of those that are not registered any more, oldest first
   std::size_t registered_ = 0, reached_ = 0;
-  std::uint64_t digest_ = 0;
+  std::uint64_t digest_ = 0, revision_ = 0;
 };
 
 }  // namespace dahliahall::peers
--- a/tests/agreed_test.cpp
+++ b/tests/agreed_test.cpp
@@ -287,6 +287,21 @@
   EXPECT_FALSE(std::get<Decide>(*found).epoch) << "the lease is looked at before the input";
 }
 
+TEST(Member, OneThatGoesOnCutOffCountsAndTellsThatThePromiseIsBroken) {
+  Settings settings;
+  settings.name = "m";
+  settings.voters = {"a"};
+  settings.serve_cut_off = true;
+  State state(settings, 0, 1, 1h);
+  EXPECT_FALSE(state.decides(1h)) << "it never knew an epoch";
+  state.take(1h, Due{});
+  state.take(1h, Heard{"a", Grant{1, 0, 5s, 0}});
+  EXPECT_EQ(state.counts().broken, 0U);
+  for (int i = 0; i < 3; ++i) state.take(1h + 6s + i * 1s, Due{});
+  EXPECT_EQ(state.decides(1h + 8s), 0U);
+  EXPECT_EQ(state.counts().broken, 1U) << "once, as long as it lasts";
+}
+
 TEST(Member, PullsWhatItLacksAndDecidesUnderWhatItKnowsOnly) {
   Settings settings;
   settings.name = "m";
