--- a/src/agreed/steward.cpp
+++ b/src/agreed/steward.cpp
@@ -10,7 +10,7 @@
     : settings_(settings),
       term_(term),
       voters_(std::move(voters)),
-      earlier_until_(now + past(settings.lease, settings.drift))) {}
+      earlier_until_(now + past(settings.lease, settings.drift)) {}
 
 Time Steward::past(Time lease, double drift) {
   return Time{
