Split the load's lines out of the edge's reducer; one piece for what stood twice

In the log: one Call for the six that set and settled alike, one run_later for four loops, one record_of for three writers of an entry, one keeps for three ways to tell of a failed disk, one prepare for two starts of raft. In the reducer: one lead for six.

--- a/src/agreed/raft_core.cpp
+++ b/src/agreed/raft_core.cpp
@@ -156,29 +156,19 @@
   if (log.term_ != 0 || !log.entries_.empty() || !log.snapshot_.empty()) return RAFT_CANTBOOTSTRAP;
   raft_buffer encoded{};
   if (const int status = raft_configuration_encode(&first, &encoded)) return status;
-  pb::Record term, entry;
+  pb::Record term;
   term.set_term(1);
-  entry.mutable_entry()->set_index(1);
-  entry.mutable_entry()->mutable_entry()->set_term(1);
-  entry.mutable_entry()->mutable_entry()->set_type(RAFT_CHANGE);
-  entry.mutable_entry()->mutable_entry()->set_data(text_of(encoded));
   log.term_ = 1;
   log.entries_.push_back({1, RAFT_CHANGE, text_of(encoded)});
   raft_free(encoded.base);
-  return log.write({term.SerializeAsString(), entry.SerializeAsString()}) ? 0 : RAFT_IOERR;
+  return log.write({term.SerializeAsString(), record_of(1, log.entries_.back())}) ? 0 : RAFT_IOERR;
 }
 
 int RaftLog::Raft::append(const raft_entry* entries, unsigned count) {
   std::vector<std::string> records;
   for (unsigned at = 0; at < count; ++at) {
     log.entries_.push_back({entries[at].term, entries[at].type, text_of(entries[at].buf)});
-    pb::Record record;
-    pb::Kept& kept = *record.mutable_entry();
-    kept.set_index(log.first_index_ + log.entries_.size() - 1);
-    kept.mutable_entry()->set_term(entries[at].term);
-    kept.mutable_entry()->set_type(entries[at].type);
-    kept.mutable_entry()->set_data(log.entries_.back().data);
-    records.push_back(record.SerializeAsString());
+    records.push_back(record_of(log.first_index_ + log.entries_.size() - 1, log.entries_.back()));
   }
   return log.write(records) ? 0 : RAFT_IOERR;
 }
--- a/src/agreed/raft_log.cpp
+++ b/src/agreed/raft_log.cpp
@@ -4,22 +4,53 @@
 #include <algorithm>
 
 #include "agreed/raft_core.h"
+#include "hash.h"
 
 namespace dahliahall::agreed {
 namespace {
 
 constexpr Time kBirthEvery{300'000};
 
+/// Of one name with one disk: another disk is another server.
+std::uint64_t id_of(const std::string& name, std::uint64_t mark) {
+  std::uint64_t hash = fnv1a(name) ^ mark * 0x9e3779b97f4a7c15U;
+  hash ^= hash >> 29U;
+  return (hash >> 1U) | 1U;  // never 0
+}
+
 }  // namespace
 
+/// A call from outside: what raft does meanwhile goes into `out`, and is settled at the end.
+class RaftLog::Call {
+ public:
+  Call(RaftLog& log, Out& out) : log_(log) { log_.out_ = &out; }
+  ~Call() {
+    log_.settle(*log_.out_);
+    log_.out_ = nullptr;
+  }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+ private:
+  RaftLog& log_;
+};
+
 // ---- Life ----
 
 RaftLog::RaftLog(Settings settings, storage::Journal& journal, Time now)
     : settings_(std::move(settings)), journal_(journal), now_(now), random_(settings_.seed) {}
 
-RaftLog::~RaftLog() {
+RaftLog::~RaftLog() { close(); }
+
+void RaftLog::close() {
   if (!raft_) return;
   raft_close(&raft_->core, nullptr);
+  run_later();
+  raft_.reset();
+}
+
+/// What raft has put off, until nothing is left.
+void RaftLog::run_later() {
   while (!later_.empty()) {
     const auto next = std::move(later_.front());
     later_.pop_front();
@@ -27,14 +58,6 @@
   }
 }
 
-std::uint64_t RaftLog::id_of(const std::string& name, std::uint64_t mark) {
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  hash ^= mark * 0x9e3779b97f4a7c15U;
-  hash ^= hash >> 29U;
-  return (hash >> 1U) | 1U;  // never 0
-}
-
 bool RaftLog::read_records(const std::vector<std::string>& records) {
   for (const std::string& text : records) {
     pb::Record record;
@@ -80,15 +103,26 @@
   return true;
 }
 
-bool RaftLog::write(const std::vector<std::string>& records) {
-  if (journal_.append(records)) return true;
-  if (why_.empty()) {
-    why_ = journal_.why();
-    if (out_ != nullptr)
-      out_->log.push_back("policy storage failed: " + why_ + "; it takes no part in the log any more");
-  }
+/// Passes on whether the disk has it. Where it has not, that is for good, and told once.
+bool RaftLog::keeps(bool done) {
+  if (done || !why_.empty()) return done;
+  why_ = journal_.why();
+  if (out_ != nullptr)
+    out_->log.push_back("policy storage failed: " + why_ + "; it takes no part in the log any more");
   return false;
 }
+bool RaftLog::write(const std::vector<std::string>& records) { return keeps(journal_.append(records)); }
+bool RaftLog::compact() { return keeps(journal_.replace(all_records())); }
+
+std::string RaftLog::record_of(Index index, const Kept& entry) {
+  pb::Record record;
+  pb::Kept& kept = *record.mutable_entry();
+  kept.set_index(index);
+  kept.mutable_entry()->set_term(entry.term);
+  kept.mutable_entry()->set_type(entry.type);
+  kept.mutable_entry()->set_data(entry.data);
+  return record.SerializeAsString();
+}
 
 std::vector<std::string> RaftLog::all_records() const {
   std::vector<std::string> records;
@@ -108,12 +142,7 @@
     records.push_back(record.SerializeAsString());
   }
   for (std::size_t at = 0; at < entries_.size(); ++at) {
-    pb::Kept& kept = *record.mutable_entry();
-    kept.set_index(first_index_ + at);
-    kept.mutable_entry()->set_term(entries_[at].term);
-    kept.mutable_entry()->set_type(entries_[at].type);
-    kept.mutable_entry()->set_data(entries_[at].data);
-    records.push_back(record.SerializeAsString());
+    records.push_back(record_of(first_index_ + at, entries_[at]));
   }
   if (learnt_) {
     agreed::write(*learnt_, *record.mutable_whole());
@@ -122,51 +151,42 @@
   return records;
 }
 
-bool RaftLog::compact() {
-  if (journal_.replace(all_records())) return true;
-  if (why_.empty()) why_ = journal_.why();
-  return false;
-}
-
 bool RaftLog::open(Out& out) {
-  out_ = &out;
+  const Call call(*this, out);
   std::vector<std::string> records;
-  if (!journal_.open(records)) {
-    why_ = journal_.why();
-  } else if (!read_records(records)) {
+  if (!keeps(journal_.open(records))) return false;
+  if (!read_records(records)) {
     why_ = "its records do not go together";
-  } else if (mark_ == 0) {
-    mark_ = random_() | 1U;
-    pb::Record record;
-    record.set_mark(mark_);
-    write({record.SerializeAsString()});
+    out.log.push_back("policy storage failed: " + why_ + "; it takes no part in the log");
+    return false;
   }
   if (journal_.mended() > 0)
     out.log.push_back("policy storage mended records=" + std::to_string(journal_.mended()) +
                       ": one of two copies was damaged");
-  id_ = id_of(settings_.name, mark_);
-  if (!why_.empty()) {
-    out.log.push_back("policy storage failed: " + why_ + "; it takes no part in the log");
-    out_ = nullptr;
-    return false;
+  if (mark_ == 0) {
+    mark_ = random_() | 1U;
+    pb::Record record;
+    record.set_mark(mark_);
+    if (!write({record.SerializeAsString()})) return false;
   }
+  id_ = id_of(settings_.name, mark_);
   if (learnt_) {
     register_ = Register(*learnt_);
     told_ = learnt_->index;
     out.inputs.emplace_back(Restored{*learnt_});
   }
   const bool has_log = term_ != 0 || !entries_.empty() || !snapshot_.empty();
-  if (has_log && !begin(out)) return false;
-  settle(out);
-  out_ = nullptr;
-  return true;
+  return !has_log || begin(out);
 }
 
-bool RaftLog::begin(Out& out) {
+int RaftLog::prepare() {
   raft_ = std::make_unique<Raft>(*this);
-  const std::string address = address_of(settings_.name, id_);
+  return raft_init(&raft_->core, &raft_->io, &raft_->fsm, id_, address_of(settings_.name, id_).c_str());
+}
+
+bool RaftLog::begin(Out& out) {
+  int status = prepare();
   struct raft& r = raft_->core;
-  int status = raft_init(&r, &raft_->io, &raft_->fsm, id_, address.c_str());
   if (status == 0) {
     raft_set_pre_vote(&r, true);
     raft_set_election_timeout(&r, settings_.election_ms);
@@ -195,6 +215,12 @@
   return all;
 }
 
+std::set<std::string> RaftLog::voter_names() const {
+  std::set<std::string> names;
+  for (const auto& [name, id] : voters()) names.insert(name);
+  return names;
+}
+
 bool RaftLog::confirms(Term term) const {
   if (!runs()) return false;
   const auto all = voters();
@@ -234,18 +260,10 @@
   if (std::none_of(born.first().begin(), born.first().end(), mine)) return false;
   raft_configuration first{};
   if (!read_servers(born.first(), first)) return false;
-  raft_ = std::make_unique<Raft>(*this);
-  const std::string address = address_of(settings_.name, id_);
-  int status = raft_init(&raft_->core, &raft_->io, &raft_->fsm, id_, address.c_str());
+  int status = prepare();
   if (status == 0) status = raft_bootstrap(&raft_->core, &first);
   raft_configuration_close(&first);
-  raft_close(&raft_->core, nullptr);
-  while (!later_.empty()) {
-    const auto next = std::move(later_.front());
-    later_.pop_front();
-    next();
-  }
-  raft_.reset();
+  close();
   if (status != 0) return false;
   out.log.push_back("policy log begins voters=" + std::to_string(born.first_size()));
   return begin(out);
@@ -255,7 +273,7 @@
   now_ = std::max(now_, now);
   pb::Born born;
   if (!born.ParseFromString(message.bytes)) return;
-  out_ = &out;
+  const Call call(*this, out);
   const auto& first = settings_.first;
   if (born.asks()) {
     pb::Born answer;
@@ -275,22 +293,18 @@
       unborn_.erase(from);
     }
   }
-  settle(out);
-  out_ = nullptr;
 }
 
 // ---- Calls ----
 
 void RaftLog::tick(Time now, Out& out) {
   now_ = std::max(now_, now);
-  out_ = &out;
+  const Call call(*this, out);
   ask_birth(out);
   if (runs() && now_ - last_tick_ >= std::chrono::milliseconds(settings_.heartbeat_ms) / 2) {
     last_tick_ = now_;
     raft_->ticks(&raft_->io);
   }
-  settle(out);
-  out_ = nullptr;
 }
 
 void RaftLog::heard(Time now, const ForLog& message, Out& out) {
@@ -299,18 +313,16 @@
   if (!why_.empty() || !from.ParseFromString(message.bytes)) return;
   // Guards against what is meant for one that had this name with another disk: its votes are not this one's.
   if (from.to() != id_) return;
-  out_ = &out;
+  const Call call(*this, out);
   // A leader has added it: it takes the log from there.
   if (!raft_ && from.has_append()) begin(out);
   if (runs()) raft_->hear(from);
-  settle(out);
-  out_ = nullptr;
 }
 
 void RaftLog::append(Time now, const Entry& entry, Out& out) {
   now_ = std::max(now_, now);
   if (!leads()) return;
-  out_ = &out;
+  const Call call(*this, out);
   using Apply = struct raft_apply;
   auto* request = new Apply{};
   const raft_buffer buffer = buffer_of(encode(entry));
@@ -319,14 +331,12 @@
     raft_free(buffer.base);
     delete request;
   }
-  settle(out);
-  out_ = nullptr;
 }
 
 void RaftLog::learn(Time now, const Learn& what, Out& out) {
   now_ = std::max(now_, now);
   if (raft_ || !why_.empty()) return;
-  out_ = &out;
+  const Call call(*this, out);
   std::vector<Input> inputs;
   Register next = register_;
   if (const auto* whole = std::get_if<Whole>(&what.what)) {
@@ -345,32 +355,19 @@
   if (!inputs.empty()) {
     learnt_ = next.whole();
     // All of it is one small record: written anew each time, the journal does not grow.
-    if (journal_.replace(all_records())) {
-      register_ = std::move(next);
-      told_ = register_.index();
-      for (Input& input : inputs) out.inputs.push_back(std::move(input));
-    } else {
-      why_ = journal_.why();
-      out.log.push_back("policy storage failed: " + why_ + "; it learns nothing more");
-    }
+    if (!compact()) return;
+    register_ = std::move(next);
+    told_ = register_.index();
+    for (Input& input : inputs) out.inputs.push_back(std::move(input));
   }
-  out_ = nullptr;
 }
 
-/// What raft has put off, until nothing is left; then what became of its role.
+/// What raft has put off, then what became of its role and of voters, and what that has put off.
 void RaftLog::settle(Out& out) {
-  while (!later_.empty()) {
-    const auto next = std::move(later_.front());
-    later_.pop_front();
-    next();
-  }
+  run_later();
   watch_role(out);
   watch_change(out);
-  while (!later_.empty()) {
-    const auto next = std::move(later_.front());
-    later_.pop_front();
-    next();
-  }
+  run_later();
   if (raft_ && raft_->core.last_applied > told_) {
     told_ = raft_->core.last_applied;
     register_.pass(told_);
@@ -399,12 +396,10 @@
             const std::unique_ptr<Barrier> mine(static_cast<Barrier*>(r->data));
             RaftLog& log = *mine->log;
             if (failed != 0 || !log.leads() || log.term() != mine->term || log.out_ == nullptr) return;
-            std::set<std::string> names;
-            for (const auto& [name, id] : log.voters()) names.insert(name);
             log.told_ = log.raft_->core.last_applied;
             log.register_.pass(log.told_);
             log.out_->inputs.emplace_back(Applied{log.told_, std::nullopt});
-            log.out_->inputs.emplace_back(Led{mine->term, names});
+            log.out_->inputs.emplace_back(Led{mine->term, log.voter_names()});
             log.leader_ = log.settings_.name;
             log.role_told_ = true;
           });
@@ -438,9 +433,7 @@
     wanted_.push_back({found->second, address_of(name, found->second), true, false});
   }
   wanted_.push_back({id, address_of(name, id), false, false});
-  out_ = &out;
-  settle(out);
-  out_ = nullptr;
+  const Call call(*this, out);
   return true;
 }
 
@@ -449,9 +442,7 @@
   const auto found = all.find(name);
   if (!leads() || !wanted_.empty() || found == all.end() || all.size() < 2) return false;
   wanted_.push_back({found->second, address_of(name, found->second), true, false});
-  out_ = &out;
-  settle(out);
-  out_ = nullptr;
+  const Call call(*this, out);
   return true;
 }
 
@@ -470,9 +461,7 @@
     out.log.push_back("policy voter " + std::string(wanted.remove ? "removed" : "added") + " " +
                       wanted.address);
     wanted_.pop_front();
-    std::set<std::string> names;
-    for (const auto& [name, id] : voters()) names.insert(name);
-    out.inputs.emplace_back(Voters{names});
+    out.inputs.emplace_back(Voters{voter_names()});
     watch_change(out);
     return;
   }
--- a/src/agreed/raft_log.h
+++ b/src/agreed/raft_log.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -73,21 +74,26 @@
   [[nodiscard]] const std::string& why() const { return why_; }
   [[nodiscard]] std::size_t entries() const { return entries_.size(); }
 
-  static std::uint64_t id_of(const std::string& name, std::uint64_t mark);
-
  private:
   struct Raft;
   friend struct Raft;
+  class Call;
   struct Kept {
     std::uint64_t term = 0;
     unsigned type = 0;
     std::string data;
   };
 
+  static std::string record_of(Index index, const Kept& entry);
   bool read_records(const std::vector<std::string>& records);
   bool write(const std::vector<std::string>& records);
   bool compact();
+  bool keeps(bool done);
+  int prepare();
   bool begin(Out& out);
+  void run_later();
+  void close();
+  [[nodiscard]] std::set<std::string> voter_names() const;
   bool bootstrap(const pb::Born& born, Out& out);
   void ask_birth(Out& out);
   void settle(Out& out);
--- a/src/agreed/reducer.cpp
+++ b/src/agreed/reducer.cpp
@@ -143,35 +143,28 @@
 }
 
 void State::hear(const std::string& from, const Confirmed& m) {
-  if (!steward_) return;
-  Wish wish;
-  steward_->confirmed(from, m, register_, now_, wish);
-  carry_out(std::move(wish));
+  lead([&](Wish& wish) { steward_->confirmed(from, m, register_, now_, wish); });
 }
 void State::hear(const std::string& from, const Prepared& m) {
-  if (!steward_) return;
-  Wish wish;
-  steward_->prepared(from, m, register_, wish);
-  carry_out(std::move(wish));
+  lead([&](Wish& wish) { steward_->prepared(from, m, register_, wish); });
 }
 void State::hear(const std::string& from, const Yielded& m) {
-  if (steward_) steward_->yielded(from, m, register_);
+  lead([&](Wish&) { steward_->yielded(from, m, register_); });
 }
 void State::hear(const std::string&, const Propose& m) {
-  if (!steward_ || m.policy.size() > settings_.most_policy || m.key.empty() || m.key.size() > kMostKey)
-    return;
-  Wish wish;
-  steward_->propose(m, register_, wish);
-  carry_out(std::move(wish));
+  if (m.policy.size() > settings_.most_policy || m.key.empty() || m.key.size() > kMostKey) return;
+  lead([&](Wish& wish) { steward_->propose(m, register_, wish); });
 }
 void State::hear(const std::string& from, const AbortWanted& m) {
-  if (!steward_) return;
-  Wish wish;
-  steward_->abort(m.change, from, register_, wish);
-  carry_out(std::move(wish));
+  lead([&](Wish& wish) { steward_->abort(m.change, from, register_, wish); });
 }
 
-void State::carry_out(Wish wish) {
+/// Has the leader's side do that, where this proxy leads, and carries out what it wants.
+template <typename Does>
+void State::lead(Does&& does) {
+  if (!steward_) return;
+  Wish wish;
+  does(wish);
   for (auto& [to, message] : wish.send) send(to, std::move(message));
   for (Entry& entry : wish.append) effects_.emplace_back(Append{std::move(entry)});
 }
@@ -263,11 +256,7 @@
 }
 
 void State::run_due() {
-  if (steward_) {
-    Wish wish;
-    steward_->run(register_, members_, now_, wish);
-    carry_out(std::move(wish));
-  }
+  lead([&](Wish& wish) { steward_->run(register_, members_, now_, wish); });
   if (next_ask_ <= now_) ask();
   if (!voter_ && newest_ > register_.index() && next_pull_ <= now_) pull();
   if (!calls_.empty() && next_call_ <= now_) {
--- a/src/agreed/reducer.h
+++ b/src/agreed/reducer.h
@@ -167,7 +167,8 @@
   void ask();
   void pull();
   void tell_decision();
-  void carry_out(Wish wish);
+  template <typename Does>
+  void lead(Does&& does);
   void send(const std::string& to, Message message);
   [[nodiscard]] std::string whom_to_ask();
   [[nodiscard]] bool eager() const;
--- a/src/agreed/register.h
+++ b/src/agreed/register.h
@@ -4,6 +4,7 @@
 /// all proxies that have applied the same entries. No I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <string>
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -12,6 +12,7 @@
 #include "edge/context.h"
 #include "edge/copies.h"
 #include "edge/fronts.h"
+#include "edge/load_log.h"
 #include "edge/membership.h"
 #include "edge/operators.h"
 #include "edge/peering.h"
@@ -26,12 +27,6 @@
 constexpr Time kSweepEvery = 100ms;
 constexpr Time kTellEvery = 1s;
 constexpr std::size_t kSameCopyCosts = 20;  // telling that a copy holds costs this part of sending it
-std::string_view name_of(Ending ending) {
-  static constexpr std::array<std::string_view, 10> names{"served",      "error",  "shed",      "timed_out",
-                                                          "unreachable", "broken", "cancelled", "unsent",
-                                                          "missing",     "spoilt"};
-  return names[static_cast<std::size_t>(ending)];
-}
 
 }  // namespace
 
@@ -302,28 +297,9 @@
     context_.timers.add(context_.now + kSweepEvery, {Due::sweep, {}, 0, 0});
   }
 
-  /// What passed in the last second, for whoever looks for a jam.
   void tell_load() {
-    if (seen_ != Seen{}) {
-      const Router::Beliefs believed = router_.beliefs();
-      context_.log("load taken=" + std::to_string(seen_.taken) +
-                   " attempts=" + std::to_string(seen_.attempts) + " served=" + std::to_string(seen_.served) +
-                   " own=" + std::to_string(seen_.own) + " refused=" + std::to_string(seen_.refused) +
-                   " turned_away=" + std::to_string(seen_.turned_away) +
-                   " failed=" + std::to_string(seen_.failed) + " open=" + std::to_string(requests_.open()) +
-                   " out=" + std::to_string(pool_.out()) + " believed_out=" + std::to_string(believed.out) +
-                   " shut=" + std::to_string(believed.shut) + " members=" + std::to_string(pool_.members()) +
-                   " kept=" + std::to_string(believed.kept + context_.timers.size() + copies_.held()) +
-                   " sockets=" + std::to_string(context_.sockets));
-    }
-    seen_ = {};
-    wrong_told_ = 0;
-    for (const auto& [member, endings] : std::exchange(endings_, {})) {
-      std::string line = "endings member=" + member;
-      for (const auto& [ending, count] : endings)
-        line.append(" ").append(name_of(ending)).append("=").append(std::to_string(count));
-      if (endings.size() > 1 || endings.begin()->first != Ending::served) context_.log(std::move(line));
-    }
+    load_.tell(context_, {requests_.open(), pool_.out(), router_.beliefs(), pool_.members(),
+                          context_.timers.size() + copies_.held(), context_.sockets});
     if (!stopped_) context_.timers.add(context_.now + kTellEvery, {Due::tell_load, {}, 0, 0});
   }
 
@@ -360,7 +336,7 @@
     }
     // Guards against clients that ask for more than they may or read: these refusals take next to no work.
     if (fronts_.backed_up(front) || !serving_) {
-      ++seen_.turned_away;
+      ++load_.seen.turned_away;
       requests_.turn_back(front, call);
       return;
     }
@@ -369,7 +345,7 @@
     if (!agreeing_.decides()) agreeing_.count_refused();
     const bool refused = !refused_classes_.empty() && refused_classes_.count(requests_.class_of(call)) != 0;
     if (!agreeing_.decides() || refused) {
-      ++seen_.turned_away;
+      ++load_.seen.turned_away;
       requests_.turn_back(front, call);
       return;
     }
@@ -377,17 +353,17 @@
     std::optional<Taken> taken =
         requests_.read(front, call, stopping_ ? std::optional<Time>(stop_by_) : std::nullopt);
     if (!taken || requests_.find(taken->request.id) != nullptr) {
-      ++seen_.turned_away;
+      ++load_.seen.turned_away;
       requests_.turn_away(front, call);
       return;
     }
     // Guards the memory against clients that send more than can be passed on.
     if (!requests_.room_for(*taken)) {
-      ++seen_.turned_away;
+      ++load_.seen.turned_away;
       requests_.turn_back(front, call);
       return;
     }
-    ++seen_.taken;
+    ++load_.seen.taken;
     Request request = taken->request;
     taken->epoch = agreeing_.epoch().value_or(0);
     if (agreeing_.traces()) trace("taken", request.id, taken->epoch);
@@ -525,11 +501,10 @@
         outcome.ending = Ending::spoilt;
     }
     outcome.took = ended.took;
-    ++endings_[ended.member][outcome.ending];
-    if (outcome.ending != Ending::served) tell_wrong(ended, outcome.ending);
+    load_.ended(context_, ended, outcome.ending);
     if (outcome.ending == Ending::served) {
       if (const Taken* taken = requests_.find(ended.request)) {
-        ++seen_.served;
+        ++load_.seen.served;
         const Request& r = taken->request;
         if (!r.write) copies_.offer(key_of(r), r.group, ended.answer, context_.now);
         requests_.served(ended.request, ended.answer);
@@ -539,18 +514,8 @@
     tell(outcome);
   }
 
-  /// One line on an attempt that ended wrong, so that its request can be followed by its id through all
-  /// proxies. Guards the log against a trouble that ends hundreds of them a second: the sums are told all the
-  /// same.
-  void tell_wrong(const Ended& ended, Ending ending) {
-    if (++wrong_told_ > kWrongTold) return;
-    context_.log("wrong request=" + ended.request + " attempt=" + std::to_string(ended.number) + " member=" +
-                 ended.member + " source=" + ended.source + " ending=" + std::string(name_of(ending)) +
-                 " took_ms=" + std::to_string(ended.took.count() / 1000));
-  }
-
   void perform(Attempt& a) {
-    ++seen_.attempts;
+    ++load_.seen.attempts;
     Order order;
     order.request = a.request;
     order.member = a.member;
@@ -595,11 +560,11 @@
 
   void perform(const Cancel& c) { pool_.cancel(c.request, c.attempt); }
   void perform(const Refuse& r) {
-    ++seen_.refused;
+    ++load_.seen.refused;
     requests_.refused(r.request, r.retry_after);
   }
   void perform(const Fail& f) {
-    ++seen_.failed;
+    ++load_.seen.failed;
     requests_.failed(f.request);
   }
   void perform(const ServeOwn& own) {
@@ -610,7 +575,7 @@
     // Telling a client that the copy it holds is the one takes little of the link.
     const bool same = !taken->held_tag.empty() && taken->held_tag == copy->tag;
     copies_.sent(same ? copy->body.size() / kSameCopyCosts : copy->body.size(), context_.now);
-    ++seen_.own;
+    ++load_.seen.own;
     requests_.served(own.request, same ? std::string_view() : std::string_view(copy->body), copy->tag, same);
   }
   void perform(const Wake& w) {
@@ -636,15 +601,9 @@
   Agreeing agreeing_;
   std::set<std::size_t> refused_classes_;  // by the policy
   Operators operators_;
-  struct Seen {
-    int taken = 0, attempts = 0, served = 0, own = 0, refused = 0, turned_away = 0, failed = 0;
-    bool operator==(const Seen&) const = default;
-  };
-  std::map<std::string, std::map<Ending, int>> endings_;  // of attempts by member, likewise
-  int wrong_told_ = 0;                                    // lines on them, likewise
-  Seen seen_;                                             // since the last line on load
-  bool listed_ = false;                                   // the whole list is in
-  bool stopping_ = false;                                 // SIGTERM has come
+  LoadLog load_;
+  bool listed_ = false;       // the whole list is in
+  bool stopping_ = false;     // SIGTERM has come
   bool ending_idle_ = false;  // clients' connections end as soon as they owe nothing
   bool listening_ = true;
   bool serving_ = true;
--- a/src/limits/shares.cpp
+++ b/src/limits/shares.cpp
@@ -4,17 +4,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "hash.h"
+
 namespace dahliahall::limits {
 namespace {
 
 /// The holder ends its lease this much earlier: what was decided by then has gone out by its end.
 constexpr std::chrono::milliseconds kMargin{500};
 
-std::uint64_t hash_of(const std::string& name) {
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  return hash * 0x9e3779b97f4a7c15U;
-}
+std::uint64_t hash_of(const std::string& name) { return fnv1a(name) * 0x9e3779b97f4a7c15U; }
 
 }  // namespace
 
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 
+#include "hash.h"
+
 namespace dahliahall::peers {
 namespace {
 
@@ -15,10 +17,7 @@
 }
 
 std::uint64_t hash_of(const News& news) {
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const std::string* text : {&news.name, &news.address}) {
-    for (const char c : *text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  }
+  const std::uint64_t hash = fnv1a(news.address, fnv1a(news.name));
   // A suspicion is no disagreement: it is either refuted or becomes a death.
   const Liveness state = news.state == Liveness::suspect ? Liveness::alive : news.state;
   return mix(hash ^ mix(news.disk ^ mix(news.incarnation ^ mix(static_cast<std::uint64_t>(state)))));
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -58,9 +58,18 @@
 
 }  // namespace
 
-std::string Journal::framed(std::string_view record) {
-  const std::string copy = copy_of(record, next_++);
-  return copy + copy;
+/// Each record twice, as it goes to the disk; none where one is too long.
+std::optional<std::string> Journal::framed(const std::vector<std::string>& records) {
+  std::string bytes;
+  for (const std::string& record : records) {
+    if (record.size() > most_) {
+      fail("a record is too long", 0);
+      return std::nullopt;
+    }
+    const std::string copy = copy_of(record, next_++);
+    bytes.append(copy).append(copy);
+  }
+  return bytes;
 }
 
 bool Journal::fail(const std::string& what, int error) {
@@ -104,7 +113,6 @@
     ++next_;
     at = std::min(all.size(), at + 2 * (kHead + length));
   }
-  size_ = at;
   // Written anew, whole: guards against the other copy's going bad as well.
   if (mended_ > 0) return replace(records);
   if (const int error = folder_.extend(name_, at, file_)) return fail("can't be opened", error);
@@ -124,31 +132,22 @@
 bool Journal::append(const std::vector<std::string>& records) {
   if (failed_) return false;
   if (!file_) return replace(records);
-  std::string bytes;
-  for (const std::string& record : records) {
-    if (record.size() > most_) return fail("a record is too long", 0);
-    bytes += framed(record);
-  }
-  size_ += bytes.size();
-  return write_out(*file_, bytes);
+  const auto bytes = framed(records);
+  return bytes && write_out(*file_, *bytes);
 }
 
 bool Journal::replace(const std::vector<std::string>& records) {
   if (failed_) return false;
   next_ = 0;
-  std::string bytes;
-  for (const std::string& record : records) {
-    if (record.size() > most_) return fail("a record is too long", 0);
-    bytes += framed(record);
-  }
+  const auto bytes = framed(records);
+  if (!bytes) return false;
   const std::string fresh = name_ + ".new";
   std::unique_ptr<File> file;
   if (const int error = folder_.create(fresh, file)) return fail("can't be made", error);
-  if (!write_out(*file, bytes)) return false;
+  if (!write_out(*file, *bytes)) return false;
   if (const int error = folder_.rename(fresh, name_)) return fail("can't be put in place", error);
   if (const int error = folder_.sync()) return fail("is not on the disk", error);
   file_ = std::move(file);
-  size_ = bytes.size();
   return true;
 }
 
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,12 +34,11 @@
 
   [[nodiscard]] bool failed() const { return failed_; }
   [[nodiscard]] const std::string& why() const { return why_; }
-  [[nodiscard]] std::size_t size() const { return size_; }
   /// Records of which one of the two copies was bad when it was opened.
   [[nodiscard]] std::size_t mended() const { return mended_; }
 
  private:
-  std::string framed(std::string_view record);
+  std::optional<std::string> framed(const std::vector<std::string>& records);
   bool write_out(File& file, std::string_view bytes);
   bool fail(const std::string& what, int error);
 
@@ -47,7 +47,7 @@
   std::size_t most_;
   std::unique_ptr<File> file_;
   std::uint64_t next_ = 0;  // number of the next record: guards against one that stands in a wrong place
-  std::size_t size_ = 0, mended_ = 0;
+  std::size_t mended_ = 0;
   bool failed_ = false;
 };
 
--- a/tests/agreed_world.h
+++ b/tests/agreed_world.h
@@ -15,6 +15,7 @@
 
 #include "agreed/raft_log.h"
 #include "faulty_folder.h"
+#include "virtual_time.h"
 
 namespace dahliahall::test {
 
@@ -117,11 +118,7 @@
   }
   template <typename Done>
   std::optional<Time> until(Done&& done, Time most, Time step = 20ms) {
-    for (Time passed{0}; passed <= most; passed += step) {
-      if (done()) return passed;
-      run(step);
-    }
-    return std::nullopt;
+    return run_until(*this, done, most, step);
   }
 
   void put(std::size_t i, std::uint64_t call, const std::string& key, agreed::Epoch base,
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -28,14 +28,21 @@
   return records;
 }
 
+/// A new one.
+struct Begun : Journal {
+  explicit Begun(FaultyFolder& folder) : Journal(folder, "log", kMost) {
+    Records none;
+    EXPECT_TRUE(open(none));
+    EXPECT_TRUE(none.empty());
+  }
+};
+
 TEST(Journal, HoldsWhatWasWrittenAndGoesOn) {
   FaultyFolder folder;
   folder.short_writes = true;
   EXPECT_EQ(read(folder), Records{});
   {
-    Journal journal(folder, "log", kMost);
-    Records none;
-    ASSERT_TRUE(journal.open(none));
+    Begun journal(folder);
     ASSERT_TRUE(journal.append({"a", ""}));
     ASSERT_TRUE(journal.append({std::string(300, 'b')}));
   }
@@ -52,9 +59,7 @@
 
 TEST(Journal, AFailedSyncIsAFailureForGood) {
   FaultyFolder folder;
-  Journal journal(folder, "log", kMost);
-  Records none;
-  ASSERT_TRUE(journal.open(none));
+  Begun journal(folder);
   ASSERT_TRUE(journal.append({"a"}));
   folder.fail_syncs = 1;
   EXPECT_FALSE(journal.append({"b"}));
@@ -67,9 +72,7 @@
 
 TEST(Journal, AFullDiskIsToldAndKeepsWhatThereWas) {
   FaultyFolder folder;
-  Journal journal(folder, "log", kMost);
-  Records none;
-  ASSERT_TRUE(journal.open(none));
+  Begun journal(folder);
   ASSERT_TRUE(journal.append({"a"}));
   folder.room = 30;
   EXPECT_FALSE(journal.append({std::string(100, 'b')}));
@@ -81,9 +84,7 @@
   const Records written{"first", "second record", "3"};
   FaultyFolder folder;
   {
-    Journal journal(folder, "log", kMost);
-    Records none;
-    ASSERT_TRUE(journal.open(none));
+    Begun journal(folder);
     for (const std::string& record : written) ASSERT_TRUE(journal.append({record}));
   }
   const std::size_t size = folder.size("log");
@@ -100,9 +101,7 @@
 TEST(Journal, DamageToBothCopiesIsNamedAndNothingIsUsed) {
   FaultyFolder folder;
   {
-    Journal journal(folder, "log", kMost);
-    Records none;
-    ASSERT_TRUE(journal.open(none));
+    Begun journal(folder);
     ASSERT_TRUE(journal.append({"first", "second"}));
   }
   folder.flip("log", 21, 0);
--- a/tests/peers_world.h
+++ b/tests/peers_world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "peers/reducer.h"
+#include "virtual_time.h"
 
 namespace dahliahall::test {
 
@@ -115,14 +116,9 @@
     }
     now_ = end;
   }
-  /// Until `done`, asked every `step`; how long it took, or none within `most`.
   template <typename Done>
   std::optional<Time> until(Done&& done, Time most, Time step = 20ms) {
-    for (Time passed{0}; passed <= most; passed += step) {
-      if (done()) return passed;
-      run(step);
-    }
-    return std::nullopt;
+    return run_until(*this, done, most, step);
   }
 
   void feed(std::size_t i, const peers::Input& input) {
