Weigh requests that tell no size in the budgets of cold members; bound a repeat's send

Router::on(Request) took the class's mean work for the request's, which is 0 until a size was told: charge 0, so cold_room let everything through. Change: where no size is told an answer's whole time stands for its sending (an upper bound), and before the first one the class's wanted time. Read in the same function: a keyed repeat decided within its window may wait for a connection until after it.

--- /dev/null
+++ b/bench/slow_start_figures.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: MIT
+// The figures of docs/fleet.md on slow start: the worst window over many seeds, by the number of routers and
+// by how they come to know. Usage: dahliahall_slow_start_figures [SEEDS]
+#include <cstdio>
+#include <cstdlib>
+
+#include "slow_start_world.h"
+
+int main(int count, char** words) {
+  using namespace dahliahall;
+  using test::SlowStartPlan;
+  const int seeds = count > 1 ? std::atoi(words[1]) : 20;
+  const auto plan = [](auto&& set) {
+    SlowStartPlan p;
+    set(p);
+    return p;
+  };
+  const std::vector<std::pair<const char*, SlowStartPlan>> plans{
+      {"at once", {}},
+      {"over 2 s", plan([](auto& p) { p.told_over = 2; })},
+      {"a third restarted", plan([](auto& p) { p.restarted = 0.34; })},
+      {"all restarted", plan([](auto& p) { p.restarted = 1; })},
+      {"heavy", plan([](auto& p) { p.heavy_kb = 12000; })},
+      {"light", plan([](auto& p) { p.heavy_kb = 800; })},
+      {"quiet", plan([](auto& p) { p.load = 0.4; })},
+      {"no sizes", plan([](auto& p) { p.sizes_told = false; })},
+      {"no sizes, restarted", plan([](auto& p) { p.sizes_told = false, p.restarted = 1; })},
+      {"rough weights", plan([](auto& p) { p.weights = Weights::rough; })},
+      {"no weights", plan([](auto& p) { p.weights = Weights::none; })},
+      {"no weights, quiet", plan([](auto& p) { p.weights = Weights::none, p.load = 0.4; })},
+      {"no weights or sizes", plan([](auto& p) { p.weights = Weights::none, p.sizes_told = false; })},
+  };
+  std::printf(
+      "routers plan                 worst: cache parent  over 2: cache parent  used: cache parent  served\n");
+  for (const int routers : {3, 20, 30, 300}) {
+    for (const auto& [name, drawn] : plans) {
+      double cache = -1e9, parent = -1e9, cache_used = 0, parent_used = 0, served = 0;
+      int cache_over = 0, parent_over = 0;
+      for (int seed = 1; seed <= seeds; ++seed) {
+        SlowStartPlan p = drawn;
+        p.routers = routers;
+        p.seed = static_cast<std::uint64_t>(seed);
+        const auto result = test::SlowStartWorld(p).run();
+        cache = std::max(cache, result.cache);
+        parent = std::max(parent, result.parent);
+        cache_over += result.cache > 2 ? 1 : 0;
+        parent_over += result.parent > 2 ? 1 : 0;
+        cache_used += result.cache_used / seeds;
+        parent_used += result.parent_used / seeds;
+        served += result.served / seeds;
+      }
+      std::printf("%7d %-20s %12.2f %6.2f %14d %6d %12.2f %6.2f %7.3f\n", routers, name, cache, parent,
+                  cache_over, parent_over, cache_used, parent_used, served);
+      std::fflush(stdout);
+    }
+  }
+}
--- a/include/dahliahall/choice.h
+++ b/include/dahliahall/choice.h
@@ -194,7 +194,8 @@
 struct Withdrawn {
   std::string request;
 };
-/// Which part of its even share of a cold member's budget this router may use; more than 1 where others have stopped.
+/// Which part of its even share of a cold member's budget this router may use; more than 1 where others have
+/// stopped.
 struct Portion {
   double of_parents = 1, of_caches = 1;
 };
@@ -220,6 +221,7 @@
   Rank rank = Rank::unkept;
   Time oldest{0};          ///< oldest copy that will do; 0: the class's fresh time
   Time timeout{0};         ///< 0: until the client gives up
+  Time send_within{0};     ///< it may not be sent later than this; 0: at any time before it times out
   bool join = false;       ///< waits for a fill of the same part that is under way, where there is one
   bool held_only = false;  ///< the source gives only what it holds
   bool parent_keeps_none = false;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -123,8 +123,9 @@
   std::uint64_t key = 0;  // the part of the object: what is counted and kept
   Rank rank = Rank::low;
   Time arrived{0};
-  double work = 0;  // sending time at full pace, in seconds
-  Time aim{0};      // wanted within this time of the arrival
+  double work = 0;     // sending time at full pace, in seconds
+  bool sized = false;  // its size was told
+  Time aim{0};         // wanted within this time of the arrival
   std::vector<Try> tries;
   bool over = false;  // a final answer was given; attempts may still be out
   bool streaming = false;
@@ -457,10 +458,10 @@
       actions_.push_back(Refuse{r.id, stay_away()});
       return;
     }
-    double& mean = mean_work_[c];
-    held.work = r.kb > 0 && s_.stream_kb_per_s > 0 ? r.kb / s_.stream_kb_per_s : mean;
-    mean = mean == 0 ? held.work : mean + kMeanMemory * (held.work - mean);
-
+    const bool told = r.kb > 0 && s_.stream_kb_per_s > 0;
+    held.work = told ? r.kb / s_.stream_kb_per_s : mean_work_[c];
+    if (told) weigh(c, held.work);
+    held.sized = told;
     held.aim = std::min(s_.classes[c].aim + from_seconds(s_.classes[c].aim_stretch * held.work),
                         s_.classes[c].deadline);
     // A copy of its own spares a fill that would be late or dear. Its link is narrow: what is asked for
@@ -484,6 +485,19 @@
     return s_.classes[static_cast<std::size_t>(h.request.request_class)];
   }
 
+  /// What a request of the class weighs for a cold member. Guards one that has started where requests don't
+  /// tell their size: then an answer's whole time stands for its sending, and before the first one the wanted
+  /// time.
+  double mean_work(const Held& h) const {
+    const double mean = mean_work_[static_cast<std::size_t>(h.request.request_class)];
+    return mean > 0 ? mean : seconds(class_of(h).aim);
+  }
+
+  void weigh(std::size_t c, double work) {
+    double& mean = mean_work_[c];
+    mean = mean == 0 ? work : mean + kMeanMemory * (work - mean);
+  }
+
   /// What a fill is expected to earn: a slow source leaves classes with little time no chance.
   double expected_worth(const Held& h) const {
     return class_of(h).worth * fills_in_time_[static_cast<std::size_t>(h.request.request_class)];
@@ -526,7 +540,7 @@
       tried.push_back(t.at);
       tried_sources.push_back(t.source);
     }
-    const double charge = mean_work_[static_cast<std::size_t>(h.request.request_class)];
+    const double charge = mean_work(h);
     const auto home = origin();
     // Guards against large fills crowding out several small ones of more worth on a full link or at a
     // crowded source. Harm: a source that bears all sizes alike is used less by the large ones.
@@ -572,6 +586,7 @@
     a.renew = p.role == Role::cache && h.rank != Rank::unkept && class_of(h).max_age.count() > 0;
     a.join = p.role == Role::cache && !writes(h);
     a.held_only = held_only && peers_[source].role == Role::parent;
+    a.send_within = repeat_within(h);
     // Asked straight, a parent gives only what it holds unless the origin is named as its source.
     const auto home = origin();
     if (at == source && p.role == Role::parent && !a.held_only && home) a.source = peers_[*home].member.id;
@@ -620,6 +635,13 @@
     return true;
   }
 
+  /// How soon a repeat of a keyed request has to be sent. Guards the memory of its key against a repeat that
+  /// is decided within it and waits for a connection until after it.
+  Time repeat_within(const Held& h) const {
+    if (class_of(h).effect != Effect::keyed || h.tries.empty()) return Time{0};
+    return class_of(h).memory - (now_ - h.tries.front().sent);
+  }
+
   bool may_refuse(const Held& h) const {
     const RequestClass& c = class_of(h);
     if (c.effect == Effect::safe || (c.effect == Effect::keyed && c.group == DedupGroup::all)) return true;
@@ -764,6 +786,7 @@
         o.note == Note::source_shed || o.note == Note::source_unreached || o.note == Note::origin_failed;
     switch (o.ending) {
       case Ending::served: {
+        if (!h.sized) weigh(static_cast<std::size_t>(h.request.request_class), seconds(o.took));
         const double pace = seconds(o.took) / std::max(seconds(h.aim), 1e-3);
         const bool hit = o.note == Note::hit || o.note == Note::stale;
         good(p);
