--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -46,7 +46,7 @@
 void Admin::accepted(ConnectionId connection) {
   ++context_.sockets;
   // Guards the descriptors against callers that connect and say nothing: the oldest makes room for a new one.
-  if (links_.size() >= kMostAdminCalls) {
+  if (links_.size() >= static_cast<std::size_t>(context_.bounds.operators)) {
     auto oldest = links_.begin();  // ids rise with time
     for (auto link = links_.begin(); link != links_.end(); ++link) {
       if (!link->second.answered) {
--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -10,6 +10,13 @@
 
 namespace dahliahall::edge {
 
+/// Of all classes of the settings.
+inline Time longest_deadline(const Settings& settings) {
+  Time longest{0};
+  for (const RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
 // ---- Time ----
 
 /// From connecting to the first whole message, and from a message's first byte to its last.
@@ -41,6 +48,9 @@
 /// A connection on which nothing has happened for this long has no request on its way; a new one may have.
 constexpr Time kQuiet = std::chrono::milliseconds(2);
 constexpr Time kQuietAtFirst = std::chrono::milliseconds(100);
+/// Answers that clients have not taken this long after the last one was due are cut off: nobody waits for
+/// them, and the process has to be gone before it may be killed.
+constexpr Time kLastWordsAfterStop = std::chrono::milliseconds(200);
 
 // ---- One connection ----
 
@@ -48,7 +58,7 @@
 constexpr std::size_t kMostDiscarded = 256 * 1024;
 constexpr std::size_t kMostOpenCalls = 32;
 /// Connections at the second address.
-constexpr std::size_t kMostAdminCalls = 32;
+constexpr int kMostAdminCalls = 32;
 /// Members that operators may take out, and members that left of which it is known that they were listed.
 constexpr std::size_t kMostByHand = 1024;
 constexpr std::size_t kMostLeftKnown = 256;
@@ -57,6 +67,8 @@
 constexpr std::size_t kReadAtOnce = 64 * 1024;
 constexpr int kReadsAtOnce = 4;
 constexpr int kAcceptsAtOnce = 16;
+/// After the system gave no descriptor for a client, the next is asked for this much later.
+constexpr Time kAcceptAgainAfter = std::chrono::milliseconds(100);
 /// Ready sockets taken from the system at once.
 constexpr int kReadyAtOnce = 1024;
 constexpr int kBacklog = 512;
@@ -66,7 +78,7 @@
 constexpr int kWrongTold = 16;
 /// Of log lines that standard output does not take at the moment.
 constexpr std::size_t kMostLogWaiting = 64 * 1024;
-/// Unsent bytes from which nothing more is read from that peer.
+/// Unsent bytes from which nothing more is read from that peer; that it has gone is still heard.
 constexpr std::size_t kPauseFrom = 4 * 1024 * 1024;
 
 // ---- Copies of its own ----
@@ -82,10 +94,19 @@
 
 // ---- All together, by the limits that the configuration tells ----
 
+/// Descriptors that are no connections of the kinds below: standard streams, the loop's own, listeners, the
+/// file that is kept, the bulletin, one client that is accepted before another one makes room for it.
+constexpr int kOtherDescriptors = 16;
+
+/// The kinds of connections have parts of the descriptors of their own, so that none can take what another
+/// needs, and all together stay within the limit.
 struct Bounds {
   int sockets = 0;              ///< descriptors
   int clients = 0;              ///< clients' connections: half of them
-  int to_caches = 0;            ///< connections to caches: a third
+  int leaving = 0;              ///< and so many more that end, so that what was written can still be read
+  int operators = 0;            ///< connections at the second address
+  int to_caches = 0;            ///< connections to caches: a third, or what is left
+  Time unread_within{0};        ///< nobody waits longer for an answer
   std::size_t bodies = 0;       ///< bytes of open requests' bodies
   std::size_t unsent = 0;       ///< answers that wait to be read, of all clients
   std::size_t refuse_from = 0;  ///< of one client: new requests are refused at once
@@ -94,7 +115,10 @@
   explicit Bounds(const config::Config& config)
       : sockets(config.max_sockets),
         clients(config.max_sockets / 2),
-        to_caches(config.max_sockets / 3),
+        leaving(config.max_sockets / 16),
+        operators(std::min(kMostAdminCalls, config.max_sockets / 16)),
+        to_caches(std::min(sockets / 3, sockets - clients - leaving - operators - kOtherDescriptors)),
+        unread_within(longest_deadline(config.settings)),
         bodies(config.memory / 8),
         unsent(config.memory / 5),
         refuse_from(std::min<std::size_t>(2 * 1024 * 1024, config.memory / 16)),
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -11,10 +11,11 @@
 constexpr std::string_view kPath = "/bulletins";
 // A comment comes each second: a link without a byte for this long is dead, though nobody says so.
 constexpr Time kSilence = 2500ms;
-constexpr Time kConnectWithin = 300ms;
-// What is asked for counts as told from then on, and purges bind 300 ms later: a new connection that says
-// nothing at all is given up well before that.
-constexpr Time kFirstByteWithin = 150ms;
+// What is asked for counts as told from then on, and purges bind 300 ms later: a new connection that does not
+// come up, or says nothing at all, is given up well before that. Each further one is given twice the time, up
+// to the silence that means a dead link. Guards against a bulletin that is slow: it would be hung up on for
+// ever.
+constexpr Time kFirstPatience = 150ms;
 constexpr Time kFirstWait = 50ms;  // before the next try to connect; doubles up to the longest
 constexpr Time kLongestWait = 800ms;
 
@@ -26,6 +27,7 @@
       names_(config.names),
       last_(config.known_number),
       wait_(kFirstWait),
+      patience_(kFirstPatience),
       draws_(config.seed) {}
 
 void BulletinLink::open() {
@@ -46,6 +48,7 @@
 std::vector<codec::BulletinEvent> BulletinLink::bytes(std::string_view bytes) {
   heard_ = context_.now;
   spoke_ = true;
+  patience_ = kFirstPatience;
   std::vector<codec::BulletinEvent> events;
   reader_.feed(bytes);
   while (const auto read = reader_.next()) {
@@ -80,6 +83,7 @@
   if (address == address_ || stopped_) return;
   address_ = address;
   wait_ = kFirstWait;
+  patience_ = kFirstPatience;
   if (id_ != 0) end(CloseReason::bulletin_moved, true);
   open();
 }
@@ -90,11 +94,10 @@
 
 void BulletinLink::sweep() {
   if (id_ == 0) return;
-  if (!up_ && context_.now - opened_ >= kConnectWithin) {
-    end(CloseReason::connect_timeout, true);
-  } else if (up_ && context_.now - heard_ >= (spoke_ ? kSilence : kFirstByteWithin)) {
-    end(CloseReason::silent, true);
-  }
+  const Time unheard = context_.now - (up_ ? heard_ : opened_);
+  if (unheard < (spoke_ ? kSilence : patience_)) return;
+  patience_ = std::min(patience_ * 2, kSilence);
+  end(up_ ? CloseReason::silent : CloseReason::connect_timeout, true);
 }
 
 void BulletinLink::stop() {
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -26,7 +26,8 @@
   tell_load,  // a line in the log
   end_idle,
   stop_listening,
-  stop_serving
+  stop_serving,
+  stop_writing
 };
 struct Timer {
   Due what = Due::sweep;
@@ -52,7 +53,7 @@
   std::vector<Effect> effects;
   TimerQueue<Timer> timers;
   ConnectionId last_connection = 0;  ///< that was opened from here
-  int sockets = 0;  ///< connections open or coming up
+  int sockets = 0;                   ///< connections open or coming up
 
   void log(std::string line);
   void write(ConnectionId connection, std::string bytes);
--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -9,34 +9,49 @@
 constexpr int kBusyRank = 4;
 
 }  // namespace
+
 void Fronts::accepted(ConnectionId connection) {
   ++context_.sockets;
   Front front;
   front.protocol = make_thrift_front();
   front.opened = front.active = context_.now;
   front.begun = context_.now;
-  const bool room = static_cast<int>(fronts_.size()) < context_.bounds.clients || make_room();
+  // Guards the descriptors that the connections to the caches need.
+  const bool full = fronts_.size() - leaving_.size() >= static_cast<std::size_t>(context_.bounds.clients);
+  const std::optional<ConnectionId> other = full ? idlest() : std::nullopt;
   fronts_.emplace(connection, std::move(front));
-  if (!room) end(connection, CloseReason::too_many, true);
+  if (full) leave(other.value_or(connection), CloseReason::too_many);
+  while (fronts_.size() > static_cast<std::size_t>(context_.bounds.clients + context_.bounds.leaving))
+    end_oldest_leaving();
 }
 
-/// Guards the descriptors that the connections to the caches need, and the clients that ask against those
-/// that open connections by the hundred and say nothing: who has said nothing for a while goes first, then
-/// the longest idle, which can ask again on a new one. A connection that has only just come up goes late: its
-/// first request may be on the way.
-bool Fronts::make_room() {
+/// Guards the clients that ask against those that open connections by the hundred and say nothing: who has
+/// said nothing for a while goes first, then the longest idle, which can ask again on a new one. A connection
+/// that has only just come up goes late: its first request may be on the way.
+std::optional<ConnectionId> Fronts::idlest() const {
   const auto rank = [this](const Front& f) {
-    if (f.leaving) return 0;
-    if (!idle(f)) return kBusyRank;
+    if (f.leaving || !idle(f)) return kBusyRank;
     if (f.greeted) return 2;
     return context_.now - f.opened >= kFirstWordWithin ? 1 : 3;
   };
   const auto worst = std::min_element(fronts_.begin(), fronts_.end(), [&](const auto& a, const auto& b) {
     return std::pair(rank(a.second), a.second.active) < std::pair(rank(b.second), b.second.active);
   });
-  if (worst == fronts_.end() || rank(worst->second) == kBusyRank) return false;
-  end(worst->first, CloseReason::too_many, true);
-  return true;
+  if (worst == fronts_.end() || rank(worst->second) == kBusyRank) return std::nullopt;
+  return worst->first;
+}
+
+void Fronts::end_oldest_leaving() {
+  const ConnectionId oldest = leaving_.front();
+  end(oldest, *fronts_.at(oldest).leaving, true);
+}
+
+void Fronts::short_of_descriptors() {
+  if (!leaving_.empty()) {
+    end_oldest_leaving();
+  } else if (const auto other = idlest()) {
+    end(*other, CloseReason::too_many, true);
+  }
 }
 
 std::vector<FrontCall> Fronts::bytes(ConnectionId connection, std::string_view bytes) {
@@ -98,10 +113,11 @@
 std::vector<std::string> Fronts::leave(ConnectionId connection, CloseReason reason, std::string last) {
   const auto found = fronts_.find(connection);
   if (found == fronts_.end() || found->second.leaving) return {};
-  answer(connection, std::move(last));
+  if (!last.empty()) answer(connection, std::move(last));
   context_.finish(connection);
   Front& front = found->second;
   front.leaving = reason;
+  leaving_.push_back(connection);
   front.active = context_.now;
   std::vector<std::string> open;
   for (const auto& [tag, request] : std::exchange(front.open, {})) open.push_back(request);
@@ -131,14 +147,15 @@
   std::vector<std::string> open;
   for (const auto& [tag, request] : front.open) open.push_back(request);
   unsent_ -= front.unsent;
+  if (front.leaving) std::erase(leaving_, connection);
   context_.ended({"front", connection, front.opened, front.requests, {}}, front.leaving.value_or(reason),
                  close_it);
   fronts_.erase(found);
   return open;
 }
 
-std::vector<std::pair<ConnectionId, CloseReason>> Fronts::overdue() {
-  std::vector<std::pair<ConnectionId, CloseReason>> due;
+std::vector<std::string> Fronts::sweep() {
+  std::vector<std::pair<ConnectionId, CloseReason>> leave_them, cut_them_off;
   ConnectionId worst = 0;
   std::size_t most = 0;
   for (const auto& [id, front] : fronts_) {
@@ -146,29 +163,45 @@
       most = front.unsent;
       worst = id;
     }
+    const Time unheard = context_.now - front.active;
     if (front.leaving) {
-      if (context_.now - front.active >= kLeaveWithin) due.emplace_back(id, *front.leaving);
-    } else if (front.unsent > context_.bounds.cut_off_from) {
-      due.emplace_back(id, CloseReason::backlog);
+      if (unheard >= kLeaveWithin) cut_them_off.emplace_back(id, *front.leaving);
+    } else if (front.unsent > context_.bounds.cut_off_from ||
+               // Guards the descriptors against clients that ask and never read.
+               (front.writing && front.open.empty() && unheard >= context_.bounds.unread_within)) {
+      cut_them_off.emplace_back(id, CloseReason::backlog);
     } else if (front.begun.count() != 0 && front.open.empty() &&
                context_.now - front.begun >= kMessageWithin) {
       // Guards the descriptors against clients that say nothing, or half a message, and stay.
-      due.emplace_back(id, CloseReason::no_message);
-    } else if (idle(front) && context_.now - front.active >= kClientIdle) {
-      due.emplace_back(id, CloseReason::idle);
+      leave_them.emplace_back(id, CloseReason::no_message);
+    } else if (idle(front) && unheard >= kClientIdle) {
+      leave_them.emplace_back(id, CloseReason::idle);
     }
   }
-  if (due.empty() && unsent_ > context_.bounds.unsent) due.emplace_back(worst, CloseReason::backlog);
-  return due;
+  if (cut_them_off.empty() && unsent_ > context_.bounds.unsent)
+    cut_them_off.emplace_back(worst, CloseReason::backlog);
+  std::vector<std::string> open;
+  for (const auto& [id, reason] : leave_them) leave(id, reason);
+  for (const auto& [id, reason] : cut_them_off) {
+    for (std::string& request : end(id, reason, true)) open.push_back(std::move(request));
+  }
+  return open;
+}
+
+void Fronts::leave_quiet() {
+  for (const auto& [id, front] : fronts_) {
+    if (!front.leaving && idle(front) &&
+        context_.now - front.active >= (front.greeted ? kQuiet : kQuietAtFirst))
+      leave(id, CloseReason::stopping);
+  }
 }
 
-std::vector<ConnectionId> Fronts::quiet() const {
-  std::vector<ConnectionId> found;
+void Fronts::cut_off_unowed() {
+  std::vector<ConnectionId> due;
   for (const auto& [id, front] : fronts_) {
-    if (idle(front) && context_.now - front.active >= (front.greeted ? kQuiet : kQuietAtFirst))
-      found.push_back(id);
+    if (front.open.empty()) due.push_back(id);
   }
-  return found;
+  for (const ConnectionId id : due) end(id, CloseReason::stopping, true);
 }
 
 }  // namespace dahliahall::edge
--- a/src/edge/fronts.h
+++ b/src/edge/fronts.h
@@ -3,6 +3,7 @@
 /// The clients' connections: calls in, answers out.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,15 +37,21 @@
 
   /// Whether the client has an open call under that number.
   [[nodiscard]] bool has_open(ConnectionId connection, CallTag tag) const;
-  /// Turns a client away with a last answer, which it may still read; the requests that were open on it.
-  std::vector<std::string> leave(ConnectionId connection, CloseReason reason, std::string last);
+  /// Ends a connection so that the client can read all that was written, a last answer included; the requests
+  /// that were open on it. Every end that is decided here goes this way. Guards answers against the reset
+  /// that follows a close over unread bytes: what still comes is thrown away until the client closes too.
+  std::vector<std::string> leave(ConnectionId connection, CloseReason reason, std::string last = {});
 
-  /// Ends the connection; the requests that were open on it.
+  /// The connection has ended, or is cut off at once; the requests that were open on it.
   std::vector<std::string> end(ConnectionId connection, CloseReason reason, bool close_it);
-  /// Connections that should end, and why.
-  std::vector<std::pair<ConnectionId, CloseReason>> overdue();
-  /// All that owe nothing more and on which nothing has happened for a moment.
-  std::vector<ConnectionId> quiet() const;
+  /// Ends what should end by now; the requests that were open there.
+  std::vector<std::string> sweep();
+  /// Ends all that owe nothing more and on which nothing has happened for a moment.
+  void leave_quiet();
+  /// Cuts off all that no answer is owed to, though not all was taken that was written.
+  void cut_off_unowed();
+  /// The system gave no descriptor for a client: another one makes room at once.
+  void short_of_descriptors();
   [[nodiscard]] bool empty() const { return fronts_.empty(); }
 
  private:
@@ -62,10 +69,13 @@
   };
 
   [[nodiscard]] static bool idle(const Front& front) { return front.open.empty() && !front.writing; }
-  bool make_room();
+  /// The one that makes room for another, if there is one.
+  [[nodiscard]] std::optional<ConnectionId> idlest() const;
+  void end_oldest_leaving();
 
   Context& context_;
   std::map<ConnectionId, Front> fronts_;
+  std::deque<ConnectionId> leaving_;  // oldest first
   std::size_t unsent_ = 0;
 };
 
--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -40,14 +40,20 @@
   return report;
 }
 
+bool names(const codec::Recall& recall, const Order& order) {
+  return recall.object ? *recall.object == order.object : recall.group == order.group;
+}
+
 }  // namespace
 
-Pool::Pool(Context& context, const config::Config& config)
+Pool::Pool(Context& context, const config::Config& config, std::function<bool(const std::string&)> owed)
     : context_(context),
       connect_timeout_(config.connect_timeout),
       idle_(std::max(config.connection_idle - kBeforePeer, config.connection_idle / 2)),
       per_link_(static_cast<std::size_t>(config.requests_per_connection)),
       report_via_(config.settings.report_via),
+      cancelling_(config.settings.cancelling),
+      owed_(std::move(owed)),
       written_(config.settings.classes.size()) {}
 
 // ---- Members ----
@@ -73,6 +79,8 @@
     for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_left, true);
   }
   for (auto& [id, link] : links_) drop_queued(id);
+  for (const ConnectionId id : ids_of_links())
+    end_if_in_write(id, [this](const Order& o) { return !may_go(o); });
   // Guards the memory through days on which members are replaced for ever: their links ended above, and with
   // them all attempts on them.
   std::erase_if(members_, [](const auto& m) { return m.second.member.state == MemberState::gone; });
@@ -89,28 +97,50 @@
   return found != members_.end() && found->second.member.state == MemberState::running;
 }
 
+bool Pool::may_go(const Order& order) const { return takes_new(order.member) && takes_new(order.source); }
+
 /// Guards the rule on drains: what waits for a connection goes neither to nor by way of a member that does
-/// not run any more. It never ran.
+/// not run any more. Guards caches against work for clients that have gone meanwhile, and the idempotency
+/// window of a key against a repeat that waited too long. It never ran.
 void Pool::drop_queued(ConnectionId id) {
-  Link& link = links_.at(id);
   std::vector<Key> gone;
-  for (const Key& key : link.waiting) {
+  for (const Key& key : links_.at(id).waiting) {
     const Order& order = attempts_.at(key).order;
-    if (!takes_new(order.member) || !takes_new(order.source)) gone.push_back(key);
+    const bool too_late =
+        order.until <= context_.now || (order.send_by > Time{0} && order.send_by <= context_.now);
+    if (too_late || !owed_(order.request) || !may_go(order)) gone.push_back(key);
   }
   for (const Key& key : gone) finish(key, Ending::unsent);
 }
 
+/// What is being written on a connection that takes no more bytes may begin much later. Where the attempt in
+/// it must not go any more, the connection ends with it. Guards the rules on drains and purges against a
+/// member that does not read for a while. Harm: what else is open there is broken off.
+void Pool::end_if_in_write(ConnectionId id, const std::function<bool(const Order&)>& stale) {
+  const Link& link = links_.at(id);
+  if (!link.writing || !link.in_write) return;
+  const auto attempt = attempts_.find(*link.in_write);
+  if (attempt != attempts_.end() && stale(attempt->second.order)) end(id, CloseReason::stalled, true);
+}
+
+std::vector<ConnectionId> Pool::ids_of_links() const {
+  std::vector<ConnectionId> ids;
+  for (const auto& [id, link] : links_) ids.push_back(id);
+  return ids;
+}
+
 /// Guards the rule on purges: an attempt decided before the purge and not written yet must not be served from
 /// an older copy.
 void Pool::purged(const codec::Recall& recall) {
   for (auto& [key, attempt] : attempts_) {
     Order& order = attempt.order;
-    if (attempt.written || (recall.object ? *recall.object != order.object : recall.group != order.group))
-      continue;
+    if (attempt.written || !names(recall, order)) continue;
     const Time since = std::max(Time{1}, context_.now - recall.issued);
     order.oldest = order.oldest.count() == 0 ? since : std::min(order.oldest, since);
   }
+  for (const ConnectionId id : ids_of_links()) {
+    end_if_in_write(id, [&recall](const Order& o) { return names(recall, o); });
+  }
 }
 
 // ---- Attempts and probes ----
@@ -126,7 +156,8 @@
   for (const ConnectionId id : entry.links) {
     const Link& link = links_.at(id);
     const std::size_t load = link.open.size() + link.waiting.size();
-    const bool same = link.open.count(request) != 0;
+    // Guards against an answer that comes late or twice and is taken for that of a further attempt.
+    const bool same = link.carried.count(request) != 0;
     if (same || load >= per_link_ || doubtful(link)) continue;
     if (best == 0 || std::pair(!link.up, load) < std::pair(!best_up, best_load)) {
       best = id;
@@ -139,11 +170,30 @@
   const bool coming_up = std::any_of(entry.links.begin(), entry.links.end(),
                                      [this](ConnectionId id) { return !links_.at(id).up; });
   if (best != 0 && (best_load == 0 || coming_up)) return best;
-  if (entry.links.size() >= most_links() || context_.sockets + 16 >= context_.bounds.sockets) return best;
+  if (entry.links.size() >= most_links()) return best;
+  if (links_.size() >= static_cast<std::size_t>(context_.bounds.to_caches) && (best != 0 || !make_room()))
+    return best;
   const ConnectionId id = open_link(entry);
   return best != 0 ? best : id;
 }
 
+/// Ends the connection that has served nobody for longest, so that one to another member can come up.
+bool Pool::make_room() {
+  auto idlest = links_.end();
+  for (auto link = links_.begin(); link != links_.end(); ++link) {
+    if (link->second.up && free(link->second) &&
+        (idlest == links_.end() || link->second.active < idlest->second.active))
+      idlest = link;
+  }
+  if (idlest == links_.end()) return false;
+  end(idlest->first, CloseReason::too_many, true);
+  return true;
+}
+
+bool Pool::free(const Link& link) {
+  return link.open.empty() && link.waiting.empty() && link.probes.empty() && link.commands.empty();
+}
+
 /// How many connections one member may have: an even share of a third of the descriptors.
 std::size_t Pool::most_links() const {
   const auto caches =
@@ -190,24 +240,23 @@
   return codec::write_serve(order.request, fields, order.body);
 }
 
-/// Writes what waits once all before it has gone: a send counts from its first byte, so what is left here can
-/// still be checked against drains and purges.
+/// Writes the next of what waits once all before it has gone: a send counts from its first byte, so what is
+/// left here can still be checked against drains, purges and clients that have gone.
 void Pool::flush(ConnectionId id) {
   Link& link = links_.at(id);
   if (!link.up || link.writing) return;
   drop_queued(id);
   std::string out = std::exchange(link.commands, {});
-  while (!link.waiting.empty()) {
+  link.in_write.reset();
+  if (!link.waiting.empty()) {
     const Key key = link.waiting.front();
     link.waiting.pop_front();
     Outstanding& attempt = attempts_.at(key);
-    if (attempt.order.until <= context_.now) {
-      finish(key, Ending::unsent);
-      continue;
-    }
     attempt.written = true;
+    link.in_write = key;
     if (link.open.empty()) link.heard = context_.now;  // silence counts from when something was asked
     link.open[key.first] = key.second;
+    link.carried[key.first] = attempt.order.until;
     ++link.requests;
     ++written_.at(attempt.order.request_class);
     out += render(attempt.order);
@@ -260,7 +309,7 @@
   const ConnectionId id = found->second.link;
   Link& link = links_.at(id);
   ++link.unanswered;
-  link.commands += codec::write_cancel(key.first);
+  if (cancelling_) link.commands += codec::write_cancel(key.first);
   if (ending == Ending::cancelled) {
     finish(key, ending);
   } else {
@@ -415,9 +464,8 @@
       probed_.push_back({from.member, false, context_.now - probe.second, std::nullopt});
       return true;
     });
-    const bool free =
-        link.open.empty() && link.waiting.empty() && link.probes.empty() && link.commands.empty();
-    if (!free || !link.up) continue;
+    std::erase_if(link.carried, [this](const auto& g) { return g.second <= context_.now; });
+    if (!free(link) || !link.up) continue;
     if (doubtful(link)) {
       due.emplace_back(id, CloseReason::silent);
     } else if (context_.now - link.active >= idle_ || !takes_new(link.member)) {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -25,8 +26,9 @@
   std::uint64_t object = 0;
   std::int64_t group = 0;
   Time decided{0};
-  Time until{0};   ///< nobody waits for the answer any longer
-  Time oldest{0};  ///< as decided; 0: the class's fresh time
+  Time until{0};    ///< nobody waits for the answer any longer
+  Time send_by{0};  ///< it may not be written later; 0: until then
+  Time oldest{0};   ///< as decided; 0: the class's fresh time
 };
 
 /// How an attempt ended. Each Order that was handed in gives exactly one.
@@ -41,7 +43,8 @@
 
 class Pool {
  public:
-  Pool(Context& context, const config::Config& config);
+  /// `owed`: whether an answer is still owed to a request.
+  Pool(Context& context, const config::Config& config, std::function<bool(const std::string&)> owed);
 
   // ---- Members ----
   void apply(const codec::Roster& roster);
@@ -79,6 +82,7 @@
   void stop();
 
  private:
+  using Key = std::pair<std::string, int>;
   struct MemberEntry {
     Member member;
     std::string address;
@@ -94,6 +98,7 @@
     std::string member;
     Time opened{0}, active{0}, heard{0};
     bool up = false, writing = false;
+    std::optional<Key> in_write;  ///< the attempt in what is being written
     std::uint64_t requests = 0;
     int unanswered = 0;  ///< given up or timed out since anything was heard
     codec::AnswerReader reader;
@@ -101,14 +106,19 @@
     std::deque<std::pair<std::string, int>> waiting;  ///< attempts not written yet
     std::string commands;                             ///< cancels and probes to be written
     std::map<std::string, Time> probes;
+    std::map<std::string, Time> carried;  ///< requests it was asked for, until nobody waits for them
   };
-  using Key = std::pair<std::string, int>;
 
   ConnectionId link_for(MemberEntry& entry, const std::string& request);
   ConnectionId open_link(MemberEntry& entry);
   [[nodiscard]] std::size_t most_links() const;
   [[nodiscard]] bool doubtful(const Link& link) const;
   [[nodiscard]] bool takes_new(const std::string& member) const;
+  [[nodiscard]] bool may_go(const Order& order) const;
+  bool make_room();
+  [[nodiscard]] static bool free(const Link& link);
+  [[nodiscard]] std::vector<ConnectionId> ids_of_links() const;
+  void end_if_in_write(ConnectionId id, const std::function<bool(const Order&)>& stale);
   void flush(ConnectionId id);
   std::string render(const Order& order) const;
   void finish(const Key& key, Ending ending, codec::CacheAnswer answer = {});
@@ -122,6 +132,8 @@
   Time connect_timeout_, idle_;
   std::size_t per_link_;
   ReportVia report_via_;
+  bool cancelling_;
+  std::function<bool(const std::string&)> owed_;
   std::map<std::string, MemberEntry> members_;
   std::map<ConnectionId, Link> links_;
   std::map<Key, Outstanding> attempts_;
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -31,10 +31,10 @@
 }  // namespace
 
 std::string_view name_of(CloseReason reason) {
-  static constexpr std::array<std::string_view, 16> names{
+  static constexpr std::array<std::string_view, 17> names{
       "peer_closed", "peer_reset", "connect_refused", "connect_timeout", "idle",        "bad_frame",
       "no_message",  "bad_answer", "bad_stream",      "bulletin_moved",  "member_left", "member_replaced",
-      "silent",      "backlog",    "too_many",        "stopping"};
+      "silent",      "stalled",    "backlog",         "too_many",        "stopping"};
   return names[static_cast<std::size_t>(reason)];
 }
 
@@ -48,7 +48,8 @@
         admin_(context_),
         fronts_(context_),
         requests_(context_, fronts_, settings_),
-        pool_(context_, config),
+        pool_(context_, config,
+              [this](const std::string& request) { return requests_.find(request) != nullptr; }),
         bulletin_(context_, config),
         copies_(config),
         peering_(context_, config),
@@ -81,9 +82,8 @@
     if (stood_still) {
       bulletin_.excuse();
       pool_.excuse();
-    } else {
-      run_timers();  // after a standstill the input goes first: it may be the bulletin's
     }
+    // What has come goes before what is due: it may be the bulletin's, or the end of a client.
     std::visit([this](const auto& in) { on(in); }, input);
     run_timers();
     peering_.run_due();
@@ -108,7 +108,9 @@
 
   void on(const BytesArrived& in) {
     if (fronts_.owns(in.connection)) {
-      for (FrontCall& call : fronts_.bytes(in.connection, in.bytes)) {
+      std::vector<FrontCall> calls = fronts_.bytes(in.connection, in.bytes);
+      drop_cancelled(calls);
+      for (FrontCall& call : calls) {
         if (fronts_.protocol(in.connection) == nullptr) break;  // it was turned away
         std::visit([&](auto& c) { on_call(in.connection, c); }, call);
       }
@@ -123,6 +125,20 @@
     }
   }
 
+  /// Guards caches against work for a client that has cancelled already: its request and the cancel were read
+  /// together. No answer is owed.
+  static void drop_cancelled(std::vector<FrontCall>& calls) {
+    std::set<CallTag> cancelled;  // behind the one looked at
+    for (std::size_t at = calls.size(); at-- > 0;) {
+      if (const auto* cancel = std::get_if<GivenUp>(&calls[at])) {
+        cancelled.insert(cancel->tag);
+      } else if (const auto* asked = std::get_if<Asked>(&calls[at]);
+                 asked != nullptr && cancelled.count(asked->tag) != 0) {
+        calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(at));
+      }
+    }
+  }
+
   void on(const WriteDrained& in) {
     if (fronts_.owns(in.connection)) {
       fronts_.drained(in.connection);
@@ -139,6 +155,7 @@
     }
   }
 
+  void on(const AcceptFailed&) { fronts_.short_of_descriptors(); }
   void on(const ConnectFailed& in) { lost(in.connection, CloseReason::connect_refused); }
   void on(const Closed& in) {
     lost(in.connection, in.reset ? CloseReason::peer_reset : CloseReason::peer_closed);
@@ -166,14 +183,14 @@
     context_.effects.emplace_back(Yield{});
     peering_.stop();
     // Guards against the end of the process with requests unanswered: deadlines differ by site and day.
-    Time longest{0};
-    for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
-    stop_by_ = context_.now + std::min(longest, kLongestDeadlineAtStop) + kAnswerAfterDeadline;
+    stop_by_ =
+        context_.now + std::min(longest_deadline(settings_), kLongestDeadlineAtStop) + kAnswerAfterDeadline;
     const Time serve_until = std::max(stop_by_ - kServeBeforeAnswer, context_.now + kEndIdleAfterStop);
     context_.timers.add(context_.now + kEndIdleAfterStop, {Due::end_idle, {}, 0, 0});
     context_.timers.add(std::min(context_.now + kListenAfterStop, serve_until),
                         {Due::stop_listening, {}, 0, 0});
     context_.timers.add(serve_until, {Due::stop_serving, {}, 0, 0});
+    context_.timers.add(stop_by_ + kLastWordsAfterStop, {Due::stop_writing, {}, 0, 0});
   }
 
   /// Takes over what can change while it runs. Requests, connections and the place in the bulletin are kept.
@@ -284,13 +301,15 @@
         case Due::stop_serving:
           serving_ = false;
           break;
+        case Due::stop_writing:
+          break;  // what is done at each input from then on
       }
       settle();
     }
   }
 
   void sweep() {
-    for (const auto& [connection, reason] : fronts_.overdue()) end_front(connection, reason, true);
+    for (const std::string& request : fronts_.sweep()) withdraw(request);
     pool_.sweep();
     admin_.sweep();
     bulletin_.sweep();
@@ -316,7 +335,9 @@
   /// After SIGTERM: once nothing is owed any more, all connections end, and with them the program.
   void stop_when_done() {
     if (!ending_idle_ || stopped_) return;
-    for (const ConnectionId connection : fronts_.quiet()) end_front(connection, CloseReason::stopping, true);
+    fronts_.leave_quiet();
+    // Guards the end of the process against clients that never read their answers.
+    if (context_.now >= stop_by_ + kLastWordsAfterStop) fronts_.cut_off_unowed();
     if (listening_ || !fronts_.empty() || requests_.open() > 0) return;
     stopped_ = true;
     pool_.stop();
@@ -530,6 +551,7 @@
       order.object = taken.request.object;
       order.group = taken.request.group;
       order.until = taken.request.expires;
+      if (a.send_within > Time{0}) order.send_by = context_.now + a.send_within;
       if (a.timeout > Time{0}) order.until = std::min(order.until, context_.now + a.timeout);
       // Guards the next epoch against what goes on under the one before: it is unsent.
       if (!agreeing_.may_attempt(taken.epoch)) order.until = context_.now;
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -48,6 +48,7 @@
   member_left,
   member_replaced,
   silent,
+  stalled,
   backlog,
   too_many,
   stopping
@@ -60,6 +61,8 @@
   ConnectionId connection = 0;
   ConnectionId listener = kListener;
 };
+/// The system gave no descriptor for a client that waits.
+struct AcceptFailed {};
 struct BytesArrived {
   ConnectionId connection = 0;
   std::string_view bytes;
@@ -108,8 +111,9 @@
   std::vector<std::tuple<ConnectionId, int, std::string>> answers;
   std::uint64_t id = 0;  ///< this proxy's own
 };
-using Input = std::variant<Accepted, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed, TimerDue,
-                           StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput, PolicyOut>;
+using Input =
+    std::variant<Accepted, AcceptFailed, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed,
+                 TimerDue, StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput, PolicyOut>;
 
 // ---- Effects, to be carried out in order ----
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -111,19 +111,10 @@
       kept_(config.keep_in,
             [this](const char* why) { perform(edge::Log{std::string("keep failed: ") + why}); }) {
   listener_ = listen("listen", config.listen);
-  accepting_ = watch_listener(listener_.get(), G_PRIORITY_DEFAULT,
-                              [](GSocket*, GIOCondition, gpointer server) -> gboolean {
-                                static_cast<Server*>(server)->accept();
-                                return G_SOURCE_CONTINUE;
-                              });
+  watch_clients();
   if (!config.admin.empty()) {
     admin_listener_ = listen("admin_addr", config.admin);
-    // Guards operators against waiting behind clients: their calls come first at each turn.
-    admin_accepting_ = watch_listener(admin_listener_.get(), G_PRIORITY_HIGH,
-                                      [](GSocket*, GIOCondition, gpointer server) -> gboolean {
-                                        static_cast<Server*>(server)->accept_admin();
-                                        return G_SOURCE_CONTINUE;
-                                      });
+    watch_operators();
   }
   if (kept_.named()) {
     looking_ = Source(g_timeout_source_new(static_cast<guint>(
@@ -213,6 +204,23 @@
   return source;
 }
 
+/// Guards operators against waiting behind clients: their calls come first at each turn.
+void Server::watch_operators() {
+  admin_accepting_ = watch_listener(admin_listener_.get(), G_PRIORITY_HIGH,
+                                    [](GSocket*, GIOCondition, gpointer server) -> gboolean {
+                                      static_cast<Server*>(server)->accept_admin();
+                                      return G_SOURCE_CONTINUE;
+                                    });
+}
+
+void Server::watch_clients() {
+  accepting_ = watch_listener(listener_.get(), G_PRIORITY_DEFAULT,
+                              [](GSocket*, GIOCondition, gpointer server) -> gboolean {
+                                static_cast<Server*>(server)->accept();
+                                return G_SOURCE_CONTINUE;
+                              });
+}
+
 void Server::run() {
   read_kept();
   take(edge::TimerDue{});  // what the start itself asks for
@@ -274,17 +282,43 @@
   Error error;
   ObjectPtr<GSocket> socket(g_socket_accept(listener, nullptr, error.out()));
   if (!socket) {
-    if (!error.is(G_IO_ERROR_WOULD_BLOCK)) perform(edge::Log{std::string("accept failed: ") + error.text()});
+    if (error.is(G_IO_ERROR_WOULD_BLOCK)) return false;
+    // The first time another client makes room, and the one that waits is tried again.
+    if (error.is(G_IO_ERROR_TOO_MANY_OPEN_FILES) && !std::exchange(short_of_descriptors_, true)) {
+      take(edge::AcceptFailed{});
+      return true;
+    }
+    short_of_descriptors_ = false;
+    perform(edge::Log{std::string("accept failed: ") + error.text()});
+    accept_again_later();
     return false;
   }
+  short_of_descriptors_ = false;
   const edge::ConnectionId id = last_accepted_ += edge::kIdStep;
-  adopt(id, std::move(socket), false);
-  connections_.at(id)->first = from == edge::kAdminListener;
+  adopt(id, std::move(socket), false, from == edge::kAdminListener);
   take(edge::Accepted{id, from});
   return true;
 }
 
-void Server::adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting) {
+/// Guards the loop and the log against a client that can't be accepted: its connection stays ready for ever.
+void Server::accept_again_later() {
+  accepting_.reset();
+  admin_accepting_.reset();
+  accepting_again_ = Source(g_timeout_source_new(static_cast<guint>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(edge::kAcceptAgainAfter).count())));
+  g_source_set_callback(
+      accepting_again_.get(),
+      [](gpointer server) -> gboolean {
+        auto* self = static_cast<Server*>(server);
+        if (self->listener_) self->watch_clients();
+        if (self->admin_listener_) self->watch_operators();
+        return G_SOURCE_REMOVE;
+      },
+      this, nullptr);
+  g_source_attach(accepting_again_.get(), nullptr);
+}
+
+void Server::adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting, bool first) {
   g_socket_set_blocking(socket.get(), FALSE);
   g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   auto connection = std::make_unique<Connection>();
@@ -293,6 +327,7 @@
   connection->socket = std::move(socket);
   connection->connecting = connecting;
   connection->client = !connecting;
+  connection->first = first;
   watch(*connection);
   connections_[id] = std::move(connection);
 }
@@ -303,6 +338,9 @@
   std::uint32_t events = 0;
   if (!connection.connecting && unsent < edge::kPauseFrom) events |= EPOLLIN;
   if (connection.connecting || unsent > 0) events |= EPOLLOUT;
+  // Guards caches against work for a client that has gone: its end is heard at once, whatever it sent before
+  // and also while nothing is read from it.
+  if (connection.client && !connection.first) events |= EPOLLRDHUP;
   if (connection.events == events) return;
   poller_.watch(g_socket_get_fd(connection.socket.get()), events, connection.events.has_value(),
                 connection.id);
@@ -312,18 +350,37 @@
 void Server::poll() {
   std::array<epoll_event, edge::kReadyAtOnce> found;
   const int count = epoll_wait(poller_.descriptor(), found.data(), edge::kReadyAtOnce, 0);
-  // The bulletin first: guards the rules on purges and drains, when much has come at once, against sending
-  // before reading what they bind.
-  for (const bool first : {true, false}) {
+  // The bulletin first, then the clients that have gone: guards the rules on purges and drains, when much has
+  // come at once, against sending before reading what they bind, and caches against work that nobody waits
+  // for.
+  const auto turn = [](const Connection& connection, std::uint32_t events) {
+    if (connection.first) return 0;
+    return connection.client && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0 ? 1 : 2;
+  };
+  for (const int now : {0, 1, 2}) {
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = found.at(static_cast<std::size_t>(i));
       const auto connection = connections_.find(event.data.u64);  // an earlier event may have ended it
-      if (connection != connections_.end() && connection->second->first == first)
-        ready(event.data.u64, event.events);
+      if (connection == connections_.end() || turn(*connection->second, event.events) != now) continue;
+      now == 1 ? gone(event.data.u64) : ready(event.data.u64, event.events);
     }
   }
 }
 
+/// A client that has ended its half, or all of its connection, has gone: what it sent before is not served.
+/// Guards what was written to it, which it may still read, against a reset over bytes that were not read.
+void Server::gone(edge::ConnectionId id) {
+  const auto found = connections_.find(id);
+  std::array<char, edge::kReadAtOnce> buffer;
+  gssize size = 1;
+  Error error;
+  for (std::size_t read = 0; size > 0 && read < edge::kMostDiscarded; read += buffer.size()) {
+    size = g_socket_receive(found->second->socket.get(), buffer.data(), buffer.size(), nullptr, error.out());
+  }
+  connections_.erase(found);
+  take(edge::Closed{id, size < 0 && !error.is(G_IO_ERROR_WOULD_BLOCK)});
+}
+
 void Server::ready(edge::ConnectionId id, std::uint32_t events) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
@@ -425,8 +482,7 @@
     pending_.push_back(edge::ConnectFailed{connect.connection});
     return;
   }
-  adopt(connect.connection, std::move(socket), true);
-  connections_.at(connect.connection)->first = connect.first;
+  adopt(connect.connection, std::move(socket), true, connect.first);
 }
 
 void Server::perform(const edge::Finish& finish) {
@@ -438,9 +494,10 @@
 void Server::perform(const edge::Close& close) {
   if (close.connection == edge::kListener) {
     accepting_.reset();
+    accepting_again_.reset();
     // Guards those that have connected and were not accepted yet against a reset.
     while (ObjectPtr<GSocket> socket{g_socket_accept(listener_.get(), nullptr, nullptr)}) {
-      adopt(last_accepted_ += edge::kIdStep, std::move(socket), false);
+      adopt(last_accepted_ += edge::kIdStep, std::move(socket), false, false);
       pending_.push_back(edge::Accepted{last_accepted_, edge::kListener});
     }
     listener_.reset();
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -89,14 +89,18 @@
   void perform(const edge::PeersStop& stop);
   void perform(const edge::PolicyEffect& effect);
 
+  void watch_clients();
+  void watch_operators();
   Source watch_listener(GSocket* listener, int priority, GSocketSourceFunc dispatch);
   void accept();
   void accept_admin();
+  void accept_again_later();
   bool accept_one(GSocket* listener, edge::ConnectionId from);
-  void adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting);
+  void adopt(edge::ConnectionId id, ObjectPtr<GSocket> socket, bool connecting, bool first);
   void watch(Connection& connection);
   void poll();
   void ready(edge::ConnectionId id, std::uint32_t events);
+  void gone(edge::ConnectionId id);
   void read(edge::ConnectionId id);
   void flush(Connection& connection);
   void end_if_empty();
@@ -110,13 +114,14 @@
   LoopPtr loop_;
   ObjectPtr<GSocket> listener_, admin_listener_;
   Poller poller_;
-  Source polling_, accepting_, admin_accepting_, timer_, term_, interrupt_, hangup_, looking_;
+  Source polling_, accepting_, admin_accepting_, timer_, accepting_again_, term_, interrupt_, hangup_,
+      looking_;
   KeptFile kept_;
   std::unique_ptr<PeerLink> peers_;    // none unless configured
   std::unique_ptr<PolicyLog> policy_;  // likewise
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
   std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
-  bool busy_ = false;
+  bool short_of_descriptors_ = false;  // since the last client that was accepted
   edge::ConnectionId last_accepted_ = edge::kBeforeAccepted;
 };
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -18,4 +18,9 @@
 cmake --build "$build/consumer"
 "$build/consumer/consumer"
 
+# The program as operators build it, for the tests that a sanitizer would disturb.
+cmake -S . -B "$build/deployed" -DCMAKE_BUILD_TYPE=Release -DDAHLIAHALL_BENCHLINK=OFF
+cmake --build "$build/deployed" -j"$(nproc)" --target dahliahall_proxy
+export DAHLIAHALL_DEPLOYED=$build/deployed/dahliahall
+
 ctest --test-dir "$build" --output-on-failure
--- /dev/null
+++ b/tests/watches_test.cpp
@@ -0,0 +1,191 @@
+// SPDX-License-Identifier: MIT
+// The watch on the list and repeated attempts at rare moments, in virtual time.
+#include <gtest/gtest.h>
+
+#include "virtual_stage.h"
+
+namespace dahliahall::test {
+namespace {
+
+std::string draining(int no, const std::string& id) {
+  return R"(bulletin send {"no":)" + std::to_string(no) +
+         R"(,"roster":{"revision":2,"complete":false,"members":[)" + listed(id, id + ":1", "leaving") +
+         "]}}\n";
+}
+
+// ---- The watch ----
+
+TEST(Watch, ABulletinThatTakesHalfASecondToAnswerIsReadAllTheSame) {
+  // Guards against hanging up on it each time before it has spoken: the list would never come.
+  VirtualStage stage(std::vector<std::string>{});
+  play(stage, "anna send probe 1\nanna expect unready 1");
+  std::string told;
+  for (int waited = 0; waited < 4000 && stage.log().find("list no=1") == std::string::npos; waited += 50) {
+    told += stage.received("bulletin");
+    const std::size_t calls = told.size();
+    if (calls == 0) {
+      stage.wait(std::chrono::milliseconds(50));
+      continue;
+    }
+    stage.wait(std::chrono::milliseconds(500));
+    const std::string more = stage.received("bulletin");
+    told = more;  // it has hung up and called again: the answer to the first call comes to nothing
+    if (!more.empty()) continue;
+    play(stage,
+         "bulletin send head\nbulletin send "
+         R"({"no":1,"roster":{"revision":1,"complete":true,"members":[)" +
+             listed("box-1", "box-1:1") + "]}}\n");
+  }
+  play(stage, "edge expect log list no=1 complete=1\nanna send probe 2\nanna expect ready 2");
+}
+
+TEST(Watch, AnEventThatIsHalfReadWhenTheBulletinMovesIsAskedForAnew) {
+  VirtualStage stage;
+  play(stage, R"(
+    bulletin expect get last=1
+    bulletin send head
+    bulletin send raw id: 2\ndata: {"no":2,"recall":{"lot":17,
+    edge send HUP bulletin-2
+    bulletin-2 expect get last=1
+    bulletin-2 send head
+    bulletin-2 send {"no":2,"recall":{"lot":17,"issued":1}}
+    bulletin-2 send {"no":3,"recall":{"lot":18,"issued":1}}
+    bulletin-2 close
+    wait 1000
+    bulletin-2 expect get last=3
+  )");
+}
+
+TEST(Watch, ADrainThatComesWithAnAttemptThatIsDueBindsIt) {
+  // Guards against what is due going before what has come: after 200 ms in which it had no time, both have.
+  VirtualStage stage;
+  play(stage, R"(
+    bulletin expect get last=1
+    bulletin send head
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 send raw what is this
+  )");
+  stage.stand_still(std::chrono::milliseconds(200));
+  stage.arrive_whole();
+  play(stage, draining(2, "box-1") + "box-1 expect nothing\nanna expect refused 1");
+}
+
+TEST(Watch, AClientsEndThatComesWithAnAttemptThatIsDueBindsIt) {
+  VirtualStage stage;
+  play(stage, "anna send 1 pages\nbox-1 expect serve 1\nbox-1 send raw what is this");
+  stage.stand_still(std::chrono::milliseconds(200));
+  play(stage, "anna close\nwait 100\nbox-1 expect nothing");
+}
+
+TEST(Watch, WhatWaitsBehindAMemberThatReadsNothingIsRecheckedWhenItIsWritten) {
+  VirtualStage stage;
+  play(stage, R"(
+    bulletin expect get last=1
+    bulletin send head
+    anna send 1 video
+    box-1 expect serve 1
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    box-1 close deaf
+    anna send 2 video
+    anna send 3 video
+    bert send 4 video
+    wait 1
+  )");
+  // One connection to it is busy with request 2; what came after waits for it, or for another one.
+  const std::string written = stage.received("box-1");
+  EXPECT_NE(written.find("serve 0000000000000002"), std::string::npos);
+  play(stage, R"(
+    wait 50
+    bulletin send {"no":2,"recall":{"lot":99,"issued":1}}
+    bert close
+    box-1 close not
+    wait 1
+  )");
+  EXPECT_EQ(stage.received("box-1").find("serve 0000000000000004"), std::string::npos);
+}
+
+TEST(Watch, ADrainEndsTheConnectionOnWhichARequestIsStuck) {
+  // Guards the drain: the member reads again seconds later, and the request would begin then.
+  VirtualStage stage({"box-1", "up-1", "main"});
+  play(stage, R"(
+    bulletin expect get last=1
+    bulletin send head
+    anna send 1 pages
+    box-1 expect serve 1
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    box-1 close deaf
+    anna send 2 pages
+    box-1 expect serve 2
+  )");
+  play(stage, draining(2, "box-1") + "edge expect log reason=stalled\nwait 20\nanna expect refused 2");
+}
+
+TEST(Watch, ADrainingSourceAndAPurgeEndItToo) {
+  for (const std::string& news :
+       {draining(2, "up-1"),
+        std::string(R"(bulletin send {"no":2,"recall":{"lot":17,"issued":1}})") + "\n"}) {
+    VirtualStage stage;
+    play(stage, R"(
+      bulletin expect get last=1
+      bulletin send head
+      anna send 1 pages
+      box-1 expect serve 1
+      box-1 send HIT 1 ver=a b
+      anna expect served 1
+      box-1 close deaf
+      anna send 2 pages
+      box-1 expect serve 2 from=up-1
+    )" + news + "edge expect log reason=stalled");
+  }
+}
+
+// ---- Repeats ----
+
+/// An order that may have run at one cache; the other one's connections come up late.
+std::string repeat_waits(VirtualStage& stage, int fails_after) {
+  play(stage, "box-1 close late\nbox-2 close late\nanna send 1 order unique=k limit=3000\nwait 1");
+  // Whichever was chosen has a connection coming up; the one that is let up first is not the other.
+  play(stage, "box-1 close not\nwait 1");
+  const bool one = stage.received("box-1").find("serve ") != std::string::npos;
+  const std::string first = one ? "box-1" : "box-2", other = one ? "box-2" : "box-1";
+  if (one) {
+    play(stage, "wait " + std::to_string(fails_after) + "\nbox-1 close reset\nwait 1");
+  } else {
+    play(stage, "box-1 close late\nbox-2 close not\nwait 1\nbox-2 expect serve 1\nwait " +
+                    std::to_string(fails_after) + "\nbox-2 close reset\nwait 1");
+  }
+  return other;
+}
+
+TEST(Repeats, AKeyedRequestThatWaitsUntilAfterItsWindowIsNotWritten) {
+  VirtualStage stage({"box-1", "box-2", "up-1", "up-2", "main"});
+  const std::string other = repeat_waits(stage, 1900);  // the window is 2 s
+  play(stage,
+       "wait 120\n" + other + " close not\n" + other + " expect nothing\nwait 1\nanna expect refused 1");
+}
+
+TEST(Repeats, AKeyedRequestIsRepeatedWithinItsWindow) {
+  VirtualStage stage({"box-1", "box-2", "up-1", "up-2", "main"});
+  const std::string other = repeat_waits(stage, 1900);
+  play(stage, "wait 60\n" + other + " close not\n" + other + " expect serve 1 replay=k\n" + other +
+                  " send HIT 1 ver=a b\nanna expect served 1");
+}
+
+TEST(Repeats, ASecondAnswerIsNotTakenForThatOfTheNextAttempt) {
+  // Where requests go straight to the origin, the next attempt goes to the same member. Taken for its own,
+  // the second answer would let a third attempt out beside the second.
+  VirtualStage stage({"box-1", "up-1", "main"}, 192, [](std::string config) {
+    const std::string key = R"("straight":false)";
+    return config.replace(config.find(key), key.size(), R"("straight":true)");
+  });
+  play(stage, "anna send 1 order unique=k\nmain expect serve 1");
+  const std::string shed = "0000000000000001 SHED - 0\r\n\r\n";
+  stage.send("main", shed + shed);
+  play(stage, "main expect serve 1\nmain expect nothing\nmain send HIT 1 ver=a b\nanna expect served 1");
+}
+
+}  // namespace
+}  // namespace dahliahall::test
