Refuse settings that mean nothing, by key; draw the bulletin's first patience from the settings

Read for settings of other customers: a class without a name or with another's, a deadline of 0, shares above 1, negative spans, a zone or kind that is no place in its list were taken in silence, as was a parent kind that is the origin's. config/settings_check names the key; SIGHUP goes the same way and changes nothing. BulletinLink's first patience (0.15 s) was half this site's purge slack as a figure of its own: it is half the lesser of purge slack and drain grace now, 0.1 to 0.5 s. Config.WhatSettingsCannotMeanNamesTheKey, 14 cases; 87 tests of Config, Edge, Watch and Wire passed.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/settings_check.h"
 #include "settings_reader.h"
 
 namespace dahliahall::config {
@@ -60,15 +61,14 @@
 
 void read_own_settings(Config& config, const Fields& settings) {
   config.settings = read_settings(settings);
-  if (config.settings.classes.empty()) settings.fail("request_classes", "should name a class at least");
   config.names.zones = texts(settings, "azs");
   config.names.kinds = texts(settings, "kinds");
+  check_settings(settings, config.settings);
   const Fields bounds = settings.object_or_empty("bounds");
   config.connection_idle = positive(bounds, "conn_idle", config.connection_idle);
   config.connect_timeout = positive(bounds, "connect_timeout", config.connect_timeout);
   config.requests_per_connection = bounds.small("multiplex", config.requests_per_connection);
   if (config.requests_per_connection < 1) bounds.fail("multiplex", "should be 1 or more");
-  if (config.settings.max_attempts < 1) bounds.fail("attempts_cap", "should be 1 or more");
 }
 
 std::uint64_t read_seed(const Fields& root) {
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -11,11 +11,11 @@
 constexpr std::string_view kPath = "/bulletins";
 // A comment comes each second: a link without a byte for this long is dead, though nobody says so.
 constexpr Time kSilence = 2500ms;
-// What is asked for counts as told from then on, and purges bind 300 ms later: a new connection that does not
-// come up, or says nothing at all, is given up well before that. Each further one is given twice the time, up
-// to the silence that means a dead link. Guards against a bulletin that is slow: it would be hung up on for
-// ever.
-constexpr Time kFirstPatience = 150ms;
+// With a connection that does not come up, or says nothing at all yet, at first: half the time after which
+// what is asked for binds, within these. Each further one is given twice the time, up to the silence that
+// means a dead link. Guards against a bulletin that is slow: it would be hung up on for ever.
+constexpr Time kLeastPatience = 100ms;
+constexpr Time kMostPatience = 500ms;
 constexpr Time kFirstWait = 50ms;  // before the next try to connect; doubles up to the longest
 constexpr Time kLongestWait = 800ms;
 
@@ -27,7 +27,9 @@
       names_(config.names),
       last_(config.known_number),
       wait_(kFirstWait),
-      patience_(kFirstPatience),
+      first_patience_(std::clamp(std::min(config.settings.purge_slack, config.settings.drain_grace) / 2,
+                                 kLeastPatience, kMostPatience)),
+      patience_(first_patience_),
       draws_(config.seed) {}
 
 void BulletinLink::open() {
@@ -48,7 +50,7 @@
 std::vector<codec::BulletinEvent> BulletinLink::bytes(std::string_view bytes) {
   heard_ = context_.now;
   spoke_ = true;
-  patience_ = kFirstPatience;
+  patience_ = first_patience_;
   std::vector<codec::BulletinEvent> events;
   reader_.feed(bytes);
   while (const auto read = reader_.next()) {
@@ -83,7 +85,7 @@
   if (address == address_ || stopped_) return;
   address_ = address;
   wait_ = kFirstWait;
-  patience_ = kFirstPatience;
+  patience_ = first_patience_;
   if (id_ != 0) end(CloseReason::bulletin_moved, true);
   open();
 }
--- a/src/edge/bulletin_link.h
+++ b/src/edge/bulletin_link.h
@@ -48,6 +48,7 @@
   bool stopped_ = false;
   Time opened_{0}, heard_{0};
   Time wait_;
+  Time first_patience_;
   Time patience_;  ///< with a connection that does not come up, or says nothing yet
   /// Knuth's generator of 64 bits.
   std::linear_congruential_engine<std::uint64_t, 6364136223846793005U, 1442695040888963407U, 0> draws_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -100,6 +100,28 @@
   EXPECT_NE(problem("{\"name\":").find("not JSON at byte 8"), std::string::npos);
 }
 
+TEST(Config, WhatSettingsCannotMeanNamesTheKey) {
+  const std::vector<std::tuple<const char*, const char*, const char*>> cases{
+      {R"("deadline":2500000)", R"("deadline":0)", "request_classes[1].deadline': should be more than 0"},
+      {R"("aim":250000)", R"("aim":-1)", "request_classes[1].aim': should be 0 or more"},
+      {R"("name":"pages")", R"("name":"video")", "request_classes[1].name': stands twice: 'video'"},
+      {R"("name":"pages")", R"("title":"pages")", "request_classes[1].name': is missing"},
+      {R"("effect":"dedup")", R"("effect":"dedupe")",
+       "request_classes[2].effect': has the unknown value 'dedupe'"},
+      {R"("az":1)", R"("az":2)", "az': is no place in azs"},
+      {R"("fleet_size":1)", R"("fleet_size":0)", "fleet_size': should be 1 or more"},
+      {R"("drain_grace":1000000)", R"("drain_grace":-1)", "rules.drain_grace': should be 0 or more"},
+      {R"("drain_grace":1000000)", R"("drain_grace":"soon")", "rules.drain_grace': should be a whole number"},
+      {R"("cold_share":0.18)", R"("cold_share":18)", "rules.cold_share': should be from 0 to 1"},
+      {R"("attempts_cap":8)", R"("attempts_cap":0)", "bounds.attempts_cap': should be 1 or more"},
+      {R"("upper_kind":1)", R"("upper_kind":2)", "specifics.upper_kind': is the same as origin_kind"},
+      {R"("origin_kind":2)", R"("origin_kind":3)", "specifics.origin_kind': is no place in kinds"},
+      {R"("purge_slack":300000)", R"("purge_slack":-5)", "specifics.purge_slack': should be 0 or more"},
+  };
+  for (const auto& [from, to, told] : cases)
+    EXPECT_EQ(problem(changed(from, to)), std::string("field 'settings.") + told) << to;
+}
+
 TEST(Config, AMissingFileIsNamed) {
   try {
     load({{"GW_CONFIG", "/nowhere/at/all.json"}});
