--- a/tests/gone_clients_test.cpp
+++ b/tests/gone_clients_test.cpp
@@ -17,6 +17,10 @@
   VirtualStage stage;
   stage.arrive_whole();
   play(stage, R"(
+    # a connection to the cache is up
+    bert send 9 pages
+    box-1 expect serve 9
+    box-1 send HIT 9 ver=a b
     anna cork
     anna send 1 pages
     anna send 2 pages
--- a/tests/instants_test.cpp
+++ b/tests/instants_test.cpp
@@ -127,6 +127,23 @@
   EXPECT_LE(lines, 10U) << program.log();
 }
 
+TEST(Instants, AFullTableThatNobodyCanLeaveCostsNeitherTimeNorLog) {
+  if (std::getenv("DAHLIAHALL_DEPLOYED") == nullptr) GTEST_SKIP() << "run tests/run.sh, which builds it";
+  StartedProgram program({"box-1", "up-1", "main"}, nullptr, 24);
+  for (int i = 1; i <= 30; ++i) {
+    const std::string n = std::to_string(i);
+    play(program, "busy-" + n + " send " + n + " video limit=5000");
+  }
+  play(program, "wait 300");
+  const auto before = program.processor_time();
+  play(program, "wait 1000");
+  EXPECT_LT(program.processor_time() - before, 300ms) << "it spins";
+  std::size_t lines = 0;
+  for (std::size_t at = 0; (at = program.log().find("accept failed", at)) != std::string::npos; ++at) ++lines;
+  EXPECT_GE(lines, 1U) << program.log();
+  EXPECT_LE(lines, 40U);
+}
+
 // ---- SIGTERM at each step of a request ----
 
 class Term : public ::testing::TestWithParam<std::pair<const char*, const char*>> {};
--- a/tests/virtual_stage.h
+++ b/tests/virtual_stage.h
@@ -48,7 +48,7 @@
   void close(const std::string& peer, Ends how) override {
     manner_[peer] = how;
     if (how == Ends::deaf || how == Ends::not_at_all) stall(peer, how == Ends::deaf);
-    if (how == Ends::not_at_all) {
+    if (how == Ends::not_at_all || how == Ends::deaf) {
       for (const edge::ConnectionId id : std::exchange(coming_up_[peer], {})) {
         if (owner_.count(id) != 0) feed(edge::Connected{id});
       }
@@ -101,6 +101,11 @@
   /// Time passes, but the reducer hears of nothing: the program stands still.
   void stand_still(std::chrono::milliseconds span) { now_ += span; }
   [[nodiscard]] Time now() const { return now_; }
+  /// Whether the connection on which the member was last asked for this is still open.
+  [[nodiscard]] bool asked_there(const std::string& peer, const std::string& id) const {
+    const auto asked = asked_on_.find({peer, id});
+    return asked != asked_on_.end() && owner_.count(asked->second) != 0;
+  }
   /// From now on what is sent arrives at once.
   void arrive_whole() { whole_ = true; }
   /// The system has no descriptor for a client that waits.
--- a/tests/watches_test.cpp
+++ b/tests/watches_test.cpp
@@ -56,54 +56,51 @@
   )");
 }
 
-TEST(Watch, ADrainThatComesWithAnAttemptThatIsDueBindsIt) {
-  // Guards against what is due going before what has come: after 200 ms in which it had no time, both have.
-  VirtualStage stage;
+/// Two requests share a connection whose stream breaks; another one is up. Both are to be asked again 10 ms
+/// later, and 200 ms pass in which the program has no time.
+void stand_before_a_repeat(VirtualStage& stage) {
   play(stage, R"(
     bulletin expect get last=1
     bulletin send head
     anna send 1 pages
     box-1 expect serve 1
+    bert send 2 pages
+    box-1 expect serve 2
     box-1 send raw what is this
   )");
   stage.stand_still(std::chrono::milliseconds(200));
   stage.arrive_whole();
-  play(stage, draining(2, "box-1") + "box-1 expect nothing\nanna expect refused 1");
+}
+
+TEST(Watch, ADrainThatComesWithAnAttemptThatIsDueBindsIt) {
+  // Guards against what is due going before what has come.
+  VirtualStage stage;
+  stand_before_a_repeat(stage);
+  play(stage, draining(2, "box-1") + "box-1 expect nothing\nanna expect refused 1\nbert expect refused 2");
 }
 
 TEST(Watch, AClientsEndThatComesWithAnAttemptThatIsDueBindsIt) {
   VirtualStage stage;
-  play(stage, "anna send 1 pages\nbox-1 expect serve 1\nbox-1 send raw what is this");
-  stage.stand_still(std::chrono::milliseconds(200));
-  play(stage, "anna close\nwait 100\nbox-1 expect nothing");
+  stand_before_a_repeat(stage);
+  play(stage, "anna close\nwait 100\nbox-1 expect serve 2\nbox-1 expect nothing");
 }
 
-TEST(Watch, WhatWaitsBehindAMemberThatReadsNothingIsRecheckedWhenItIsWritten) {
+TEST(Watch, WhatWaitsBehindARequestThatIsNotTakenIsRecheckedWhenItIsWritten) {
   VirtualStage stage;
   play(stage, R"(
-    bulletin expect get last=1
-    bulletin send head
+    box-1 close late
     anna send 1 video
-    box-1 expect serve 1
-    box-1 send HIT 1 ver=a b
-    anna expect served 1
+    bert send 2 video
+    carl send 3 video
+    # it comes up and reads nothing: one request is on its way, the others can still be taken back
     box-1 close deaf
-    anna send 2 video
-    anna send 3 video
-    bert send 4 video
-    wait 1
-  )");
-  // One connection to it is busy with request 2; what came after waits for it, or for another one.
-  const std::string written = stage.received("box-1");
-  EXPECT_NE(written.find("serve 0000000000000002"), std::string::npos);
-  play(stage, R"(
-    wait 50
-    bulletin send {"no":2,"recall":{"lot":99,"issued":1}}
+    box-1 expect serve 1
+    box-1 expect nothing
     bert close
     box-1 close not
-    wait 1
+    box-1 expect serve 3
+    box-1 expect nothing
   )");
-  EXPECT_EQ(stage.received("box-1").find("serve 0000000000000004"), std::string::npos);
 }
 
 TEST(Watch, ADrainEndsTheConnectionOnWhichARequestIsStuck) {
