--- a/src/config/peers_config.cpp
+++ b/src/config/peers_config.cpp
@@ -85,7 +85,7 @@
     section.fail("share_lease", "should be 2000000 microseconds or more");
   s.expected = static_cast<std::size_t>(
       within(section, "expected", std::max(1, members), 1, static_cast<int>(s.max_members)));
-  // Clients and caches have five of six descriptors, operators 32: a part of what is left.
+  // What is left to caches gives these up (edge/bounds.h): a small part.
   const int most_streams = std::max(1, sockets / 32);
   peers.streams = within(section, "streams", std::min(peers.streams, most_streams), 1, most_streams);
   peers.datagrams = within(section, "datagrams_per_s", peers.datagrams, 100, 1'000'000);
--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -97,6 +97,8 @@
 /// Descriptors that are no connections of the kinds below: standard streams, the loop's own, listeners, the
 /// file that is kept, the bulletin, one client that is accepted before another one makes room for it.
 constexpr int kOtherDescriptors = 16;
+/// The peers' own, beside their exchanges: datagrams, a listener, the file that is kept.
+constexpr int kPeersDescriptors = 4;
 
 /// The kinds of connections have parts of the descriptors of their own, so that none can take what another
 /// needs, and all together stay within the limit.
@@ -117,7 +119,8 @@
         clients(config.max_sockets / 2),
         leaving(config.max_sockets / 16),
         operators(std::min(kMostAdminCalls, config.max_sockets / 16)),
-        to_caches(std::min(sockets / 3, sockets - clients - leaving - operators - kOtherDescriptors)),
+        to_caches(std::min(sockets / 3, sockets - clients - leaving - operators - kOtherDescriptors -
+                                            (config.peers ? config.peers->streams + kPeersDescriptors : 0))),
         unread_within(longest_deadline(config.settings)),
         bodies(config.memory / 8),
         unsent(config.memory / 5),
--- a/tests/readiness_test.cpp
+++ b/tests/readiness_test.cpp
@@ -27,14 +27,8 @@
 using Clock = std::chrono::steady_clock;
 
 int listening(int& port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = loopback(port);
-  socklen_t size = sizeof address;
-  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  port = ntohs(address.sin_port);
+  const int fd = bound_socket(port);
+  fcntl(fd, F_SETFL, O_NONBLOCK);
   EXPECT_EQ(listen(fd, 512), 0);
   return fd;
 }
--- a/tests/started_program.cpp
+++ b/tests/started_program.cpp
@@ -26,18 +26,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-int bound_socket(int& port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = loopback(port);
-  socklen_t size = sizeof address;
-  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  port = ntohs(address.sin_port);
-  return fd;
-}
-
 /// Guards all other processes: a process that has ended has no number, and -1 would mean every one.
 void tell(int pid, int number) {
   ASSERT_GT(pid, 0) << "the process has ended";
