--- a/tests/instants_test.cpp
+++ b/tests/instants_test.cpp
@@ -151,12 +151,18 @@
 
 // ---- SIGTERM at each step of a request ----
 
-class Term : public ::testing::TestWithParam<std::pair<const char*, const char*>> {};
+/// What has happened when SIGTERM comes, and what follows.
+struct Step {
+  const char *name, *before, *after;
+  friend std::ostream& operator<<(std::ostream& out, const Step& step) { return out << step.name; }
+};
+
+class Term : public ::testing::TestWithParam<Step> {};
 
 TEST_P(Term, AllThatWasTakenIsAnsweredAndTheExitIsZero) {
   StartedProgram program;
   play(program, "carl send probe 9\ncarl expect ready 9");
-  const std::string before = GetParam().first;
+  const std::string before = GetParam().before;
   if (before == "stopped") {
     program.signal_it(SIGSTOP);
     play(program, "anna send 1 pages");
@@ -170,7 +176,7 @@
   program.signal_it(SIGHUP);
   play(program, "edge expect log stopping");
   program.terminate();
-  play(program, GetParam().second);
+  play(program, GetParam().after);
   play(program, "edge expect stopped");
   EXPECT_EQ(program.exit_code(), 0);
 }
@@ -178,20 +184,21 @@
 INSTANTIATE_TEST_SUITE_P(
     Steps, Term,
     ::testing::Values(
-        std::pair{"stopped", "box-1 expect serve 1\nbox-1 send HIT 1 ver=a b\nanna expect served 1"},
-        std::pair{"box-1 close refusing\nanna send 1 pages", "anna expect refused 1"},
-        std::pair{"anna send 1 pages\nbox-1 expect serve 1",
-                  "box-1 send HIT 1 ver=a b\nanna expect served 1 body=b"},
-        // the cache hangs
-        std::pair{"anna send 1 pages\nbox-1 expect serve 1", "anna expect refused 1"},
-        std::pair{"anna send 1 pages\nbox-1 expect serve 1\nbox-1 send raw 0000000000000001 HIT ver=a 4\\n",
-                  "box-1 close reset\nanna expect refused 1"},
-        std::pair{"anna send 1 order unique=k\nbox-1 expect serve 1", "anna expect refused 1"},
-        // a client that comes again at once, and one that never reads
-        std::pair{"anna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b\nanna expect served 1",
-                  "anna send 2 pages\nbox-1 expect serve 2\nbox-1 send HIT 2 ver=a b\nanna expect served 2"},
-        std::pair{"anna close deaf\nanna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b",
-                  "wait 1"}));
+        Step{"Unread", "stopped", "box-1 expect serve 1\nbox-1 send HIT 1 ver=a b\nanna expect served 1"},
+        Step{"Unreachable", "box-1 close refusing\nanna send 1 pages", "anna expect refused 1"},
+        Step{"Written", "anna send 1 pages\nbox-1 expect serve 1",
+             "box-1 send HIT 1 ver=a b\nanna expect served 1 body=b"},
+        Step{"TheCacheHangs", "anna send 1 pages\nbox-1 expect serve 1", "anna expect refused 1"},
+        Step{"HalfAnswered",
+             "anna send 1 pages\nbox-1 expect serve 1\nbox-1 send raw 0000000000000001 HIT ver=a 4\\n",
+             "box-1 close reset\nanna expect refused 1"},
+        Step{"AnOrderHangs", "anna send 1 order unique=k\nbox-1 expect serve 1", "anna expect refused 1"},
+        Step{"TheClientComesAgain",
+             "anna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b\nanna expect served 1",
+             "anna send 2 pages\nbox-1 expect serve 2\nbox-1 send HIT 2 ver=a b\nanna expect served 2"},
+        Step{"TheClientNeverReads",
+             "anna close deaf\nanna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b", "wait 1"}),
+    [](const auto& step) { return std::string(step.param.name); });
 
 // ---- Floods and slow connections ----
 
