Wait for the disks before the fleet's test kills all but one

Cause: the test killed four processes 18 ms after the last had been found; the list is written beside the loop, and was not on the disk yet. The test waits until each disk knows the others, up to the bound of healing; its expectations stand.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -152,6 +152,15 @@
   processes_[i].stopped = false;
   ::kill(processes_[i].pid, SIGCONT);
 }
+bool Fleet::disk_knows(std::size_t i, std::size_t count) const {
+  std::ifstream file(processes_[i].folder + "/peers-" + processes_[i].name, std::ios::binary);
+  const std::string kept(std::istreambuf_iterator<char>(file), {});
+  for (std::size_t other = 0; other < count; ++other) {
+    if (other != i && kept.find(name(other)) == std::string::npos) return false;
+  }
+  return true;
+}
+
 void Fleet::empty_disk(std::size_t i) {
   note("empty the disk of " + processes_[i].name);
   std::filesystem::remove_all(processes_[i].folder);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -56,6 +56,8 @@
   void stop(std::size_t i);       ///< SIGSTOP
   void resume(std::size_t i);     ///< SIGCONT
   void empty_disk(std::size_t i);
+  /// Whether its disk knows of all of the first `count`.
+  [[nodiscard]] bool disk_knows(std::size_t i, std::size_t count) const;
   /// Another process under the name of `of`, with a disk and addresses of its own; its number.
   std::size_t start_double(std::size_t of);
 
--- a/tests/fleet/peers_fleet_test.cpp
+++ b/tests/fleet/peers_fleet_test.cpp
@@ -138,6 +138,12 @@
 TEST_F(Peering, AllButOneKilledAndStartedAgain) {
   Fleet fleet(5);
   settle(fleet);
+  // What each has found is written beside its loop: some milliseconds later, more on a busy machine.
+  fleet.expect("all have it on their disks", kHealed, [&] {
+    bool all = true;
+    for (std::size_t i = 0; i < fleet.size(); ++i) all = all && fleet.disk_knows(i, fleet.size());
+    return all;
+  });
   for (const std::size_t i : {1U, 2U, 3U, 4U}) fleet.kill(i);
   fleet.expect("it stands alone", kKnown, [&] { return fleet.view(0)->stands == "alone"; });
   EXPECT_EQ(fleet.view(0)->registered, 5U);
