Hold the ports of started programs: suites side by side took each other's

Seen: 1 of 48 runs of Instants.NobodyMakesRoom..., six suites side by side, waited 5 s for an answer; the program's log shows no connection. Checked: the client had connected. Cause: StartedProgram bound a port, closed it and handed it to the program, which listens with SO_REUSEPORT (a successor listens beside it); another suite was given the same port in between, both programs listened there, and the system handed the client to the other one (tests/started_program.cpp, constructor and upgrade; tests/readiness_test.cpp likewise). Ruled out: a lost accept, a standstill (the program logged its calls to the bulletin throughout).

The fleet's tests had met this before: free_port() holds its port, below those that the system hands out, as long as the suite runs. It moves to tests/loopback.cpp and serves all tests; bound_socket takes its ports there too, so that a listener that is closed for a while gets its port back.

--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -15,14 +15,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-int bound(int type, int port) {
-  const int fd = socket(AF_INET, type | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const sockaddr_in address = loopback(port);
-  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return fd;
-  close(fd);
-  return -1;
-}
-
 int port_of(int fd) {
   sockaddr_in address{};
   socklen_t size = sizeof address;
@@ -43,29 +35,6 @@
 
 }  // namespace
 
-int free_port() {
-  // Below those that the system hands out by itself: guards against one that something else is given between
-  // this look and the start of the process that it is for.
-  constexpr int kFirst = 12'000, kMany = 19'000;
-  static int next = static_cast<int>(getpid() * 401 % kMany);
-  for (int tries = 0; tries < kMany; ++tries) {
-    next = (next + 1) % kMany;
-    const int streams = bound(SOCK_STREAM, kFirst + next), datagrams = bound(SOCK_DGRAM, kFirst + next);
-    if (datagrams >= 0) close(datagrams);
-    if (streams >= 0 && datagrams >= 0) {
-      // The socket stays bound as long as this program runs, from now on beside others that allow it, as
-      // those of the processes do. Guards against another suite that is run at the same time and takes the
-      // port of a process that was killed: both then get what is for the other.
-      const int yes = 1;
-      setsockopt(streams, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-      setsockopt(streams, SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
-      return kFirst + next;
-    }
-    if (streams >= 0) close(streams);
-  }
-  throw std::runtime_error("no port is free");
-}
-
 Relays::Relays(std::uint64_t seed) : random_(seed), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
   thread_ = std::thread([this] { run(); });
 }
--- a/tests/fleet/relay.h
+++ b/tests/fleet/relay.h
@@ -18,9 +18,6 @@
 
 namespace dahliahall::test {
 
-/// A port of loopback that is free for datagrams and streams alike.
-int free_port();
-
 /// What happens to datagrams of one direction; streams know only `cut`, of either direction.
 struct Fault {
   bool cut = false;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <arpa/inet.h>
-#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -12,25 +11,17 @@
 
 namespace dahliahall::test {
 
-inline sockaddr_in loopback(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-/// A socket bound to that port of this machine; to one that is free now, which is then told, where it is 0.
-inline int bound_socket(int& port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = loopback(port);
-  socklen_t size = sizeof address;
-  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  port = ntohs(address.sin_port);
-  return fd;
-}
+sockaddr_in loopback(int port);
+
+/// A socket of that type at a port that nobody else may use meanwhile; 0: any. -1 where it is taken.
+int bound(int type, int port);
+
+/// A port of loopback that is free for datagrams and streams alike, and this program's own as long as it runs:
+/// suites that run side by side share none, though the processes that they start let others listen beside
+/// them.
+int free_port();
+
+/// A socket bound to that port; where it is 0, to a free one, which is then told.
+int bound_socket(int& port);
 
 }  // namespace dahliahall::test
--- a/tests/readiness_test.cpp
+++ b/tests/readiness_test.cpp
@@ -59,9 +59,7 @@
   close(std::exchange(bulletin, -1));
   const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port); };
   std::vector<Process> all(static_cast<std::size_t>(count));
-  std::vector<int> held;
-  for (Process& p : all) held.push_back(listening(p.port));  // all differ
-  for (const int fd : held) close(fd);
+  for (Process& p : all) p.port = free_port();
   posix_spawn_file_actions_t
       quiet;  // not fork: the tests' own process is large, and copying it takes longest
   posix_spawn_file_actions_init(&quiet);
--- a/tests/started_program.cpp
+++ b/tests/started_program.cpp
@@ -45,11 +45,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   for (const std::string& member : members) listen(member);
   listen("bulletin");
-  int port = 0;
-  ::close(bound_socket(port));  // a port that is free now, for the program itself
-  addresses_["edge"] = "127.0.0.1:" + std::to_string(port);
-  ::close(bound_socket(port = 0));
-  addresses_["admin"] = "127.0.0.1:" + std::to_string(port);
+  addresses_["edge"] = "127.0.0.1:" + std::to_string(free_port());
+  addresses_["admin"] = "127.0.0.1:" + std::to_string(free_port());
 
   config_ = config_text(members, addresses_);
   if (edit != nullptr) config_ = edit(config_);
@@ -104,9 +101,7 @@
   old_pid_ = std::exchange(pid_, -1);
   old_log_pipe_ = std::exchange(log_pipe_, -1);
   old_log_ = std::exchange(log_, {});
-  int port = 0;
-  ::close(bound_socket(port));
-  addresses_["admin"] = "127.0.0.1:" + std::to_string(port);
+  addresses_["admin"] = "127.0.0.1:" + std::to_string(free_port());
   start();
 }
 
