Take a watch for alive by the lines that end on it, not by its bytes

EventStreamReader counts the head and the lines read to their ends; BulletinLink keeps when the last came (read_). Own copies are served only within 1.5 s of that; after 5 s without one the watch is asked for anew, which leaves two of the seven seconds. Not at 2.5 s, as where no byte comes: a long list may come in pieces.

Tests: Watch.OneThatBringsBytesAndNeverEndsALineIsAskedAnew, Copies.AreNotServedWhileTheBulletinEndsNoLine; each seen red without its line.

--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -45,6 +45,7 @@
              head.substr(coding + 2, head.find("\r\n", coding + 2) - coding - 2).find("chunked") !=
                  std::string::npos;
   in_body_ = true;
+  ++lines_;
   return true;
 }
 
@@ -92,6 +93,7 @@
       if (text_.size() + event_.data.size() > kMaxEvent) error_ = StreamError::event_too_long;
       return std::nullopt;
     }
+    ++lines_;
     std::string line = text_.substr(0, end);
     text_.erase(0, end + 1);
     if (!line.empty() && line.back() == '\r') line.pop_back();
--- a/src/codec/event_stream.h
+++ b/src/codec/event_stream.h
@@ -3,6 +3,7 @@
 /// Server-sent events over HTTP/1.1, as the bulletin sends them. No I/O.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,11 +24,13 @@
                                  std::string_view last_event_id);
 
 /// Takes events out of an HTTP response, chunked or not, however its bytes are split. Comments are passed
-/// over: that bytes came at all is what they tell.
+/// over: that their lines came at all is what they tell.
 class EventStreamReader {
  public:
   void feed(std::string_view bytes);
   std::optional<StreamEvent> next();
+  /// Its head and its lines that were read to their ends so far.
+  [[nodiscard]] std::uint64_t lines() const { return lines_; }
   [[nodiscard]] StreamError error() const { return error_; }
 
  private:
@@ -41,6 +44,7 @@
   bool chunk_open_ = false;
   StreamEvent event_;
   bool has_data_ = false;
+  std::uint64_t lines_ = 0;
   StreamError error_ = StreamError::none;
 };
 
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -11,6 +11,10 @@
 constexpr std::string_view kPath = "/bulletins";
 // A comment comes each second: a link without a byte for this long is dead, though nobody says so.
 constexpr Time kSilence = 2500ms;
+// Nor does one tell anything on which bytes come but no line ends. What the bulletin has to tell counts as told
+// 7 s later at the latest: there is time left to ask for it anew. Longer than the silence, since a long line may
+// come in pieces.
+constexpr Time kLineWithin = 5s;
 // With a connection that does not come up, or says nothing at all yet, at first: half the time after which
 // what is asked for binds, within these. Each further one is given twice the time, up to the silence that
 // means a dead link. Guards against a bulletin that is slow: it would be hung up on for ever.
@@ -36,14 +40,14 @@
   if (id_ != 0 || stopped_) return;
   id_ = context_.connect(address_, true);
   up_ = spoke_ = false;
-  opened_ = heard_ = context_.now;
+  opened_ = heard_ = read_ = context_.now;
   events_ = 0;
   reader_ = {};
 }
 
 void BulletinLink::connected() {
   up_ = true;
-  heard_ = context_.now;
+  heard_ = read_ = context_.now;
   context_.write(id_, codec::write_stream_request(address_, kPath, std::to_string(last_)));
 }
 
@@ -52,6 +56,7 @@
   spoke_ = true;
   patience_ = first_patience_;
   std::vector<codec::BulletinEvent> events;
+  const std::uint64_t lines = reader_.lines();
   reader_.feed(bytes);
   while (const auto read = reader_.next()) {
     try {
@@ -77,6 +82,7 @@
       if (number == last_ + 1) last_ = number;
     }
   }
+  if (reader_.lines() != lines) read_ = context_.now;
   if (reader_.error() != codec::StreamError::none) end(CloseReason::bad_stream, true);
   return events;
 }
@@ -90,14 +96,14 @@
   open();
 }
 
-void BulletinLink::excuse() { opened_ = heard_ = context_.now; }
+void BulletinLink::excuse() { opened_ = heard_ = read_ = context_.now; }
 
 void BulletinLink::lost(CloseReason reason) { end(reason, false); }
 
 void BulletinLink::sweep() {
   if (id_ == 0) return;
   const Time unheard = context_.now - (up_ ? heard_ : opened_);
-  if (unheard < (spoke_ ? kSilence : patience_)) return;
+  if (unheard < (spoke_ ? kSilence : patience_) && context_.now - read_ < kLineWithin) return;
   patience_ = std::min(patience_ * 2, kSilence);
   end(up_ ? CloseReason::silent : CloseReason::connect_timeout, true);
 }
--- a/src/edge/bulletin_link.h
+++ b/src/edge/bulletin_link.h
@@ -25,7 +25,7 @@
   /// This program stood still: what has come meanwhile is still to be read.
   void excuse();
   /// Whether its news reach this side, as far as can be told.
-  [[nodiscard]] bool heard() const { return up_ && spoke_ && context_.now - heard_ < kBulletinHeardWithin; }
+  [[nodiscard]] bool heard() const { return up_ && spoke_ && context_.now - read_ < kBulletinHeardWithin; }
   /// The connection failed or was ended by the other side.
   void lost(CloseReason reason);
   /// Ends a connection that has been silent too long, or did not come up.
@@ -47,6 +47,7 @@
   bool spoke_ = false;  ///< on this connection
   bool stopped_ = false;
   Time opened_{0}, heard_{0};
+  Time read_{0};  ///< a line to its end, or the connection was opened
   Time wait_;
   Time first_patience_;
   Time patience_;  ///< with a connection that does not come up, or says nothing yet
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -1051,6 +1051,25 @@
   )");
 }
 
+TEST(Copies, AreNotServedWhileTheBulletinEndsNoLine) {
+  // Guards the rule on purges: bytes alone bring no news.
+  VirtualStage stage;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(stage.now()).count();
+  const std::string answer = "ver=t1,born=" + std::to_string(ms) + " b";
+  play(stage, twice("video", answer, answer));
+  for (int i = 0; i < 16; ++i) {
+    stage.send("bulletin", ":");
+    stage.wait(std::chrono::milliseconds(100));
+  }
+  play(stage, R"(
+    anna send 3 video item=00000000000000aa
+    box-1 expect serve 3
+    bulletin send comment
+    anna send 4 video item=00000000000000aa
+    anna expect served 4
+  )");
+}
+
 TEST(Copies, TheLinkBearsSoManyAtOnceAndTheRestIsAskedOfTheCaches) {
   VirtualStage stage;
   const std::string body(20'000, 'y');  // 0.2 s of one of two transfers
--- a/tests/watches_test.cpp
+++ b/tests/watches_test.cpp
@@ -56,6 +56,22 @@
   )");
 }
 
+TEST(Watch, OneThatBringsBytesAndNeverEndsALineIsAskedAnew) {
+  // Guards against taking it for alive: drains and purges wait in the bulletin.
+  VirtualStage stage;
+  play(stage, "bulletin expect get last=1\nbulletin send head\nbulletin send comment");
+  std::string asked;
+  int waited = 0;
+  for (; waited < 6000 && asked.find("Last-Event-ID: 1") == std::string::npos; waited += 100) {
+    stage.send("bulletin", ":");
+    stage.wait(std::chrono::milliseconds(100));
+    asked += stage.received("bulletin");
+  }
+  EXPECT_LE(waited, 5300);
+  EXPECT_GE(waited, 4900) << "a long line may come in pieces";
+  EXPECT_NE(stage.log().find("closed kind=bulletin"), std::string::npos);
+}
+
 /// Two requests share a connection whose stream breaks; another one is up. Both are to be asked again 10 ms
 /// later, and 200 ms pass in which the program has no time.
 void stand_before_a_repeat(VirtualStage& stage) {
