--- a/bench/slow_start_figures.cpp
+++ b/bench/slow_start_figures.cpp
@@ -22,6 +22,8 @@
       {"all restarted", plan([](auto& p) { p.restarted = 1; })},
       {"heavy", plan([](auto& p) { p.heavy_kb = 12000; })},
       {"light", plan([](auto& p) { p.heavy_kb = 800; })},
+      {"connects in 0.4 s", plan([](auto& p) { p.connects_in = 0.4; })},
+      {"the same, all restarted", plan([](auto& p) { p.connects_in = 0.4, p.restarted = 1; })},
       {"quiet", plan([](auto& p) { p.load = 0.4; })},
       {"no sizes", plan([](auto& p) { p.sizes_told = false; })},
       {"no sizes, restarted", plan([](auto& p) { p.sizes_told = false, p.restarted = 1; })},
@@ -31,7 +33,7 @@
       {"no weights or sizes", plan([](auto& p) { p.weights = Weights::none, p.sizes_told = false; })},
   };
   std::printf(
-      "routers plan                 worst: cache parent  over 2: cache parent  used: cache parent  served\n");
+      "routers plan                     worst: cache parent  over 2: cache parent  used: cache parent  served\n");
   for (const int routers : {3, 20, 30, 300}) {
     for (const auto& [name, drawn] : plans) {
       double cache = -1e9, parent = -1e9, cache_used = 0, parent_used = 0, served = 0;
@@ -49,7 +51,7 @@
         parent_used += result.parent_used / seeds;
         served += result.served / seeds;
       }
-      std::printf("%7d %-20s %12.2f %6.2f %14d %6d %12.2f %6.2f %7.3f\n", routers, name, cache, parent,
+      std::printf("%7d %-24s %12.2f %6.2f %14d %6d %12.2f %6.2f %7.3f\n", routers, name, cache, parent,
                   cache_over, parent_over, cache_used, parent_used, served);
       std::fflush(stdout);
     }
--- /dev/null
+++ b/tests/crowded_world.h
@@ -0,0 +1,282 @@
+// SPDX-License-Identifier: MIT
+/// @file
+/// A few routers in virtual time over the real module, with caches, parents and an origin that work on so many
+/// requests at once and let the others wait: who is answered when there is too much to do.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bench_free_world.h"
+
+namespace dahliahall::test {
+
+struct CrowdedPlan {
+  double load = 0.6;           ///< what is asked, over what the caches can send
+  double parents = 1;          ///< seats of the parents from the fifth to the fifteenth second, over the usual
+  bool all_void = false;       ///< no cache or parent holds anything from the fifth second on
+  double heavy_kb = 3200;  ///< mean size in the class of large objects; pages have a sixth of it
+  std::uint64_t seed = 1;
+};
+
+/// By class: the share of the requests that were answered, in time or late, and of the largest tenth.
+struct CrowdedResult {
+  std::vector<double> all, largest;
+};
+
+class CrowdedWorld {
+ public:
+  explicit CrowdedWorld(const CrowdedPlan& plan) : plan_(plan), draws_(plan.seed * 7919 + 1) {
+    settings_ = settings();
+    settings_.routers = kRouters;
+    settings_.routers_by_zone = {0, 0, kRouters};
+    settings_.weights = Weights::nominal;
+    settings_.notes = Notes::none;
+    settings_.second_copies = settings_.straight = false;
+    settings_.stream_kb_per_s = kPace;
+    RequestClass video = settings_.classes[0], pages = video, order = settings_.classes[1];
+    video.worth = 2;
+    video.deadline = 5s;
+    pages.aim = 250ms;
+    order.worth = 3;
+    order.aim = 600ms;
+    order.memory = 2s;
+    settings_.classes = {video, pages, order};
+    for (const auto& [id, seats] : {std::pair{"cache-a", 6}, {"cache-b", 6}, {"cache-c", 6}, {"cache-d", 6},
+                                    {"parent-a", 8}, {"parent-b", 8}, {"origin", 12}})
+      stations_[id].seats = seats;
+  }
+
+  CrowdedResult run() {
+    std::vector<Member> list{sized("cache-a", 0, 2, 6),   sized("cache-b", 0, 2, 6),   sized("cache-c", 0, 2, 6),
+                             sized("cache-d", 0, 2, 6),   sized("parent-a", 1, 0, 24), sized("parent-b", 1, 1, 24),
+                             sized("origin", 2, 0, 1)};
+    for (int i = 0; i < kRouters; ++i) {
+      routers_.push_back(std::make_unique<Router>(settings_, draws_()));
+      feed(i, MemberList{ListKind::remembered, list});
+      at(kBegin + gap(), [this, i] { ask(i); });
+    }
+    at(kBegin + 5s, [this] {
+      void_ = plan_.all_void;
+      parent_seats(std::max(1, static_cast<int>(8 * plan_.parents)));
+    });
+    at(kBegin + 15s, [this] { parent_seats(8); });
+    while (!events_.empty() && now_ < kBegin + kAskedFor + 6s) {
+      const auto next = events_.extract(events_.begin());
+      now_ = next.key().first;
+      next.mapped()();
+    }
+    return summed();
+  }
+
+ private:
+  static constexpr int kRouters = 6;
+  static constexpr double kPace = 9100, kFillPace = 3 * kPace;
+  static constexpr Time kBegin{1000s}, kAskedFor{20s};
+
+  struct Asked {
+    int router = 0, request_class = 0, attempts = 0;
+    double kb = 0;
+    std::uint64_t object = 0;
+    bool answered = false;
+  };
+  /// What an attempt wants of one station after another; it ends when none is left, or is given up.
+  struct Job {
+    Attempt attempt;
+    int number = 0;
+    Time sent{0};
+    std::deque<std::pair<std::string, Time>> steps;
+    std::string waits_at, runs_at;
+    bool over = false;
+  };
+  using JobPtr = std::shared_ptr<Job>;
+  struct Station {
+    int seats = 0, taken = 0;
+    std::deque<JobPtr> waiting;
+  };
+
+  static Member sized(std::string id, int kind, int zone, double weight) {
+    Member m = member(std::move(id), kind, zone);
+    m.weight = weight;
+    return m;
+  }
+  static Time seconds_of(double s) { return Time{static_cast<std::int64_t>(s * 1e6)}; }
+  void at(Time when, std::function<void()> what) { events_.emplace(std::pair(when, ++order_), std::move(what)); }
+  double mean_kb(int request_class) const { return plan_.heavy_kb / (request_class == 0 ? 1 : 6); }
+  Time gap() {
+    const double mean = (0.55 * mean_kb(0) + 0.45 * mean_kb(1)) / kPace;
+    return seconds_of(std::exponential_distribution<double>(plan_.load * 24 / mean / kRouters)(draws_));
+  }
+  double part() { return std::uniform_real_distribution<double>(0, 1)(draws_); }
+
+  void parent_seats(int seats) {
+    for (const char* id : {"parent-a", "parent-b"}) {
+      stations_[id].seats = seats;
+      start_next(id);
+    }
+  }
+
+  bool holds(const std::string& id, std::uint64_t object) {
+    if (id == "origin" || filled_[id].count(object) != 0) return true;
+    if (void_) return false;
+    return std::hash<std::string>()(id + std::to_string(object)) % 100 < 70;
+  }
+
+  void ask(int i) {
+    if (now_ >= kBegin + kAskedFor) return;
+    at(now_ + gap(), [this, i] { ask(i); });
+    Request r;
+    r.id = "r" + std::to_string(asked_.size() + 1);
+    const double draw = part();
+    r.request_class = draw < 0.53 ? 0 : draw < 0.97 ? 1 : 2;
+    r.write = r.request_class == 2;
+    r.object = draws_() % 4000;
+    constexpr double kSigma = 1.1;  // sizes vary widely, as the sites say
+    r.kb = mean_kb(r.request_class) *
+           std::exp(std::normal_distribution<double>(-kSigma * kSigma / 2, kSigma)(draws_));
+    r.expires = now_ + settings_.classes[static_cast<std::size_t>(r.request_class)].deadline;
+    asked_[r.id] = {i, r.request_class, 0, r.kb, r.object, false};
+    feed(i, r);
+  }
+
+  void feed(int i, const Event& event) {
+    for (const Action& action : routers_[static_cast<std::size_t>(i)]->handle(now_, event)) {
+      if (const auto* a = std::get_if<Attempt>(&action)) send(*a);
+      if (const auto* w = std::get_if<Wake>(&action)) at(now_ + w->after, [this, i] { feed(i, TimerFired{1}); });
+      if (const auto* c = std::get_if<Cancel>(&action)) {
+        const auto job = jobs_.find({c->request, c->attempt});
+        if (job != jobs_.end()) end(job->second, Ending::cancelled);
+      }
+    }
+  }
+
+  void send(const Attempt& a) {
+    Asked& asked = asked_.at(a.request);
+    const JobPtr job = std::make_shared<Job>();
+    job->attempt = a;
+    job->number = asked.attempts++;
+    job->sent = now_;
+    jobs_[{a.request, job->number}] = job;
+    const Time sending = seconds_of(asked.kb / kPace), filling = seconds_of(asked.kb / kFillPace);
+    const bool writes = asked.request_class == 2;
+    if (writes || !holds(a.member, asked.object)) {
+      if (a.source == a.member || (a.held_only && !holds(a.source, asked.object))) {
+        at(now_ + 2ms, [this, job] { end(job, Ending::missing); });
+        return;
+      }
+      if (a.source != "origin" && !holds(a.source, asked.object)) job->steps.emplace_back("origin", filling + 40ms);
+      job->steps.emplace_back(a.source, filling + 10ms);
+    }
+    job->steps.emplace_back(a.member, sending);
+    at(now_ + 2ms, [this, job] { next_step(job); });
+  }
+
+  void next_step(const JobPtr& job) {
+    if (job->over) return;
+    if (job->steps.empty()) {
+      end(job, Ending::served);
+      return;
+    }
+    const std::string id = job->steps.front().first;
+    Station& station = stations_.at(id);
+    if (station.waiting.size() >= 4 * static_cast<std::size_t>(station.seats)) {
+      end(job, id == job->attempt.member ? Ending::shed : Ending::error);
+      return;
+    }
+    job->waits_at = id;
+    station.waiting.push_back(job);
+    start_next(id);
+  }
+
+  void start_next(const std::string& id) {
+    Station& station = stations_.at(id);
+    while (station.taken < station.seats && !station.waiting.empty()) {
+      const JobPtr job = station.waiting.front();
+      station.waiting.pop_front();
+      ++station.taken;
+      job->waits_at.clear();
+      job->runs_at = id;
+      const Time takes = job->steps.front().second;
+      job->steps.pop_front();
+      at(now_ + takes, [this, job] {
+        if (job->over) return;
+        leave(job);
+        next_step(job);
+      });
+    }
+  }
+
+  void leave(const JobPtr& job) {
+    if (!job->waits_at.empty()) std::erase(stations_.at(job->waits_at).waiting, job);
+    job->waits_at.clear();
+    if (job->runs_at.empty()) return;
+    const std::string id = std::exchange(job->runs_at, {});
+    --stations_.at(id).taken;
+    start_next(id);
+  }
+
+  void end(JobPtr job, Ending ending) {  // a share of its own: what the table holds goes here
+    if (std::exchange(job->over, true)) return;
+    leave(job);
+    jobs_.erase({job->attempt.request, job->number});
+    Asked& asked = asked_.at(job->attempt.request);
+    if (ending == Ending::served) {
+      asked.answered = true;
+      if (job->attempt.rank != Rank::unkept) filled_[job->attempt.member].insert(asked.object);
+      if (job->attempt.source != "origin") filled_[job->attempt.source].insert(asked.object);
+    }
+    Outcome o;
+    o.request = job->attempt.request;
+    o.member = job->attempt.member;
+    o.attempt = job->number;
+    o.ending = ending;
+    o.took = now_ - job->sent;
+    o.settled = ending == Ending::served;
+    // Told as an event of its own: the module may be in the middle of another.
+    at(now_, [this, router = asked.router, o] { feed(router, o); });
+  }
+
+  CrowdedResult summed() const {
+    CrowdedResult result;
+    for (int c = 0; c < 3; ++c) {
+      std::vector<std::pair<double, bool>> of_class;
+      for (const auto& [id, a] : asked_) {
+        if (a.request_class == c) of_class.emplace_back(a.kb, a.answered);
+      }
+      std::sort(of_class.rbegin(), of_class.rend());
+      const auto share = [&](std::size_t count) {
+        const auto end = of_class.begin() + static_cast<std::ptrdiff_t>(count);
+        return static_cast<double>(std::count_if(of_class.begin(), end, [](const auto& a) { return a.second; })) /
+               static_cast<double>(std::max<std::size_t>(1, count));
+      };
+      result.all.push_back(share(of_class.size()));
+      result.largest.push_back(share(of_class.size() / (of_class.size() < 400 ? 4 : 10)));
+    }
+    return result;
+  }
+
+  CrowdedPlan plan_;
+  Settings settings_;
+  std::mt19937_64 draws_;
+  Time now_{kBegin};
+  std::uint64_t order_ = 0;
+  bool void_ = false;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> events_;
+  std::map<std::string, Station> stations_;
+  std::map<std::string, std::set<std::uint64_t>> filled_;
+  std::map<std::string, Asked> asked_;
+  std::map<std::pair<std::string, int>, JobPtr> jobs_;
+};
+
+}  // namespace dahliahall::test
--- a/tests/slow_start_world.h
+++ b/tests/slow_start_world.h
@@ -25,6 +25,8 @@
   double restarted = 0;    ///< share of the routers that are restarted in the middle, all at one moment
   double heavy_kb = 3200;  ///< mean size in the heavy class; the light one has a sixth
   bool sizes_told = true;
+  /// Seconds until a connection to the cold cache is up: all that is decided meanwhile comes there at once.
+  double connects_in = 0;
   Weights weights = Weights::nominal;
   std::uint64_t seed = 1;
 };
@@ -83,7 +85,7 @@
   }
 
  private:
-  enum class Kind { arrival, told, restart, wake, done };
+  enum class Kind { arrival, told, restart, wake, done, written };
   struct Next {
     Time at{0};
     std::uint64_t order = 0;
@@ -104,6 +106,7 @@
     std::unique_ptr<Router> router;
     bool told = false;
     int life = 0;                        ///< a restart makes void what was under way
+    Time up{0};                          ///< when its connection to the cold cache comes up; 0: it has none
     std::map<std::string, Asked> tries;  ///< by request
   };
   /// A member that starts cold, as the bench counts it.
@@ -167,6 +170,7 @@
   void start(int i) {
     OneRouter& r = routers_[static_cast<std::size_t>(i)];
     ++r.life;
+    r.up = Time{0};
     r.tries.clear();
     r.router = std::make_unique<Router>(settings_, draws_());
     feed(i, MemberList{ListKind::remembered, list(r.told)});
@@ -192,6 +196,9 @@
       case Kind::done:
         if (next.life == r.life) done(next);
         break;
+      case Kind::written:
+        if (next.life == r.life) written(next.attempt, next.number);
+        break;
     }
   }
 
@@ -227,14 +234,27 @@
     feed(next.router, o);
   }
 
+  void written(const Attempt& a, int request_class) {
+    if (a.member == "cache-a") cache_.add(now_, work_of(request_class), mean_work());
+    if (a.source == "parent-a") parent_.add(now_, work_of(request_class), mean_work());
+  }
+
   void feed(int i, const Event& event) {
     OneRouter& r = routers_[static_cast<std::size_t>(i)];
     for (const Action& action : r.router->handle(now_, event)) {
       if (const auto* a = std::get_if<Attempt>(&action)) {
         Asked& asked = r.tries[a->request];
-        if (a->member == "cache-a") cache_.add(now_, work_of(asked.request_class), mean_work());
-        if (a->source == "parent-a") parent_.add(now_, work_of(asked.request_class), mean_work());
-        push(now_ + asked.takes, i, Kind::done, *a, asked.attempts++);
+        Time at = now_;
+        if (a->member == "cache-a") {
+          if (r.up == Time{0}) r.up = now_ + seconds_of(plan_.connects_in);
+          at = std::max(at, r.up);
+        }
+        if (at > now_) {
+          push(at, i, Kind::written, *a, asked.request_class);
+        } else {
+          written(*a, asked.request_class);
+        }
+        push(at + asked.takes, i, Kind::done, *a, asked.attempts++);
       } else if (const auto* w = std::get_if<Wake>(&action)) {
         push(now_ + w->after, i, Kind::wake);
       } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
