Make room only where a connection waits for it, and for caches and the bulletin too

Checked: the log's numbers of connections show each of them ended right after it was accepted, before it was read, the last one too, behind whom nobody waited. Ruled out: the bound on clients (128; 8 were there) and the test's clients closing first.

Cause, lines at fault: accept4 looks for a descriptor before it looks whether anybody waits, so that the accept after the last client that fitted failed with EMFILE on an empty queue (Server::accept_one), and the reducer ended the idlest client, the newest, whose request had not been read. Which client that was, and so the test's verdict, hung on how the test's own sends and the program's turns fell together: it passed where the clients were late to close.

Change: an accept that fails is looked into: nobody waits, nothing is done. Where one waits, what has come is read first, so that those that have asked are not taken for idle. The chance ending had left one descriptor free, which the first connection to a cache then got; so Server::connect asks for room itself now and tries once more. AcceptFailed becomes OutOfDescriptors, short_of_descriptors() make_room().

--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -46,7 +46,7 @@
   end(oldest, *fronts_.at(oldest).leaving, true);
 }
 
-void Fronts::short_of_descriptors() {
+void Fronts::make_room() {
   if (!leaving_.empty()) {
     end_oldest_leaving();
   } else if (const auto other = idlest()) {
--- a/src/edge/fronts.h
+++ b/src/edge/fronts.h
@@ -50,8 +50,8 @@
   void leave_quiet();
   /// Cuts off all that no answer is owed to, though not all was taken that was written.
   void cut_off_unowed();
-  /// The system gave no descriptor for a client: another one makes room at once.
-  void short_of_descriptors();
+  /// The system gave no descriptor for a connection: the client that can best be spared makes room at once.
+  void make_room();
   [[nodiscard]] bool empty() const { return fronts_.empty(); }
 
  private:
--- a/src/edge/reducer.cpp
+++ b/src/edge/reducer.cpp
@@ -155,7 +155,7 @@
     }
   }
 
-  void on(const AcceptFailed&) { fronts_.short_of_descriptors(); }
+  void on(const OutOfDescriptors&) { fronts_.make_room(); }
   void on(const ConnectFailed& in) { lost(in.connection, CloseReason::connect_refused); }
   void on(const Closed& in) {
     lost(in.connection, in.reset ? CloseReason::peer_reset : CloseReason::peer_closed);
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -61,8 +61,8 @@
   ConnectionId connection = 0;
   ConnectionId listener = kListener;
 };
-/// The system gave no descriptor for a client that waits.
-struct AcceptFailed {};
+/// The system gave no descriptor for a connection.
+struct OutOfDescriptors {};
 struct BytesArrived {
   ConnectionId connection = 0;
   std::string_view bytes;
@@ -112,7 +112,7 @@
   std::uint64_t id = 0;  ///< this proxy's own
 };
 using Input =
-    std::variant<Accepted, AcceptFailed, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed,
+    std::variant<Accepted, OutOfDescriptors, BytesArrived, WriteDrained, Connected, ConnectFailed, Closed,
                  TimerDue, StopAsked, Reloaded, ReloadFailed, KeptRead, PeersReady, PeersInput, PolicyOut>;
 
 // ---- Effects, to be carried out in order ----
@@ -173,8 +173,8 @@
 struct PolicyEffect {
   std::variant<agreed::Append, agreed::AskTerm, agreed::Learn, agreed::ForLog, BirthFrom, VoterWanted> effect;
 };
-using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep, PeersEffect, PeersKeep,
-                            PeersStop, PolicyEffect>;
+using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep, PeersEffect,
+                            PeersKeep, PeersStop, PolicyEffect>;
 
 /// The state of an edge proxy.
 class State {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -22,9 +22,9 @@
 namespace dahliahall::net {
 namespace {
 
-ObjectPtr<GSocket> new_socket(GSocketAddress* address) {
+ObjectPtr<GSocket> new_socket(GSocketAddress* address, Error& error) {
   ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
-                                         G_SOCKET_PROTOCOL_TCP, nullptr));
+                                         G_SOCKET_PROTOCOL_TCP, error.out()));
   if (socket) g_socket_set_blocking(socket.get(), FALSE);
   return socket;
 }
@@ -185,8 +185,8 @@
   const auto where = address_of(address);
   const std::string field = "field '" + key + "': ";
   if (!where) throw std::runtime_error(field + "'" + address + "' is no address and port");
-  auto listener = new_socket(where.get());
   Error error;
+  auto listener = new_socket(where.get(), error);
   if (!listener || !bind_shared(listener.get(), where.get()))
     throw std::runtime_error(field + "can't bind " + address + ": " + g_strerror(errno));
   g_socket_set_listen_backlog(listener.get(), edge::kBacklog);
@@ -232,10 +232,18 @@
 
 void Server::take(const edge::Input& input) {
   feed(input);
-  while (!pending_.empty()) {
-    const edge::Input next = std::move(pending_.front());
-    pending_.pop_front();
-    feed(next);
+  while (true) {
+    if (!pending_.empty()) {
+      const edge::Input next = std::move(pending_.front());
+      pending_.pop_front();
+      feed(next);
+    } else if (!to_connect_.empty()) {
+      const edge::Connect again = std::move(to_connect_.front());
+      to_connect_.pop_front();
+      connect(again, false);
+    } else {
+      break;
+    }
   }
   end_if_empty();
 }
@@ -283,9 +291,14 @@
   ObjectPtr<GSocket> socket(g_socket_accept(listener, nullptr, error.out()));
   if (!socket) {
     if (error.is(G_IO_ERROR_WOULD_BLOCK)) return false;
-    // The first time another client makes room, and the one that waits is tried again.
+    // Guards the clients against making room for nobody: the system looks for a descriptor first, and says
+    // that there is none also where nobody waits.
+    if (g_socket_condition_check(listener, G_IO_IN) == 0) return false;
+    // The first time another client makes room, and the one that waits is tried again. Guards those that have
+    // only just come up: what they ask is read first, so that they are not taken for idle.
     if (error.is(G_IO_ERROR_TOO_MANY_OPEN_FILES) && !std::exchange(short_of_descriptors_, true)) {
-      take(edge::AcceptFailed{});
+      poll();
+      take(edge::OutOfDescriptors{});
       return true;
     }
     short_of_descriptors_ = false;
@@ -473,16 +486,25 @@
   watch(connection);
 }
 
-void Server::perform(const edge::Connect& connect) {
-  const auto where = address_of(connect.address);
-  ObjectPtr<GSocket> socket = where ? new_socket(where.get()) : nullptr;
+void Server::perform(const edge::Connect& wanted) { connect(wanted, true); }
+
+void Server::connect(const edge::Connect& wanted, bool may_wait) {
+  const auto where = address_of(wanted.address);
   Error error;
+  ObjectPtr<GSocket> socket = where ? new_socket(where.get(), error) : nullptr;
+  // Guards the caches and the bulletin against clients that have taken the last descriptors: one of them makes
+  // room, and it is tried once more.
+  if (!socket && may_wait && error.is(G_IO_ERROR_TOO_MANY_OPEN_FILES)) {
+    pending_.push_back(edge::OutOfDescriptors{});
+    to_connect_.push_back(wanted);
+    return;
+  }
   if (!socket ||
       (!g_socket_connect(socket.get(), where.get(), nullptr, error.out()) && !error.is(G_IO_ERROR_PENDING))) {
-    pending_.push_back(edge::ConnectFailed{connect.connection});
+    pending_.push_back(edge::ConnectFailed{wanted.connection});
     return;
   }
-  adopt(connect.connection, std::move(socket), true, connect.first);
+  adopt(wanted.connection, std::move(socket), true, wanted.first);
 }
 
 void Server::perform(const edge::Finish& finish) {
@@ -509,6 +531,7 @@
     return;
   }
   connections_.erase(close.connection);
+  std::erase_if(to_connect_, [&close](const edge::Connect& c) { return c.connection == close.connection; });
 }
 
 void Server::perform(const edge::ArmTimer& timer) {
--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -101,9 +101,9 @@
 TEST(Closing, AClientThatTheSystemGivesNoDescriptorForTakesTheIdlestsPlace) {
   VirtualStage stage;
   play(stage, "anna send probe 1\nanna expect ready 1\nwait 10\nbert send 1 pages\nbox-1 expect serve 1");
-  stage.accept_fails();
+  stage.run_out_of_descriptors();
   play(stage, "anna expect closed\nedge expect log closed kind=front conn=1 reason=too_many");
-  stage.accept_fails();  // bert is owed an answer
+  stage.run_out_of_descriptors();  // bert is owed an answer
   play(stage, "box-1 send HIT 1 ver=a b\nbert expect served 1");
 }
 
--- a/tests/instants_test.cpp
+++ b/tests/instants_test.cpp
@@ -135,11 +135,18 @@
 TEST(Instants, AFullTableThatNobodyCanLeaveCostsNeitherTimeNorLog) {
   if (std::getenv("DAHLIAHALL_DEPLOYED") == nullptr) GTEST_SKIP() << "run tests/run.sh, which builds it";
   StartedProgram program({"box-1", "up-1", "main"}, nullptr, 24);
+  // A connection to the cache is up, so that all who come are owed an answer: it takes 32 requests.
+  play(program, "anna send 31 pages\nbox-1 expect serve 31\nbox-1 send HIT 31 ver=a b\nanna expect served 31");
+  // They have all come, and asked, before the first is accepted. Those that have come up are not to be taken
+  // for idle because nobody has read yet what they ask.
+  program.signal_it(SIGSTOP);
   for (int i = 1; i <= 30; ++i) {
     const std::string n = std::to_string(i);
     play(program, "busy-" + n + " send " + n + " video limit=5000");
   }
-  play(program, "wait 300");
+  program.signal_it(SIGCONT);
+  play(program, "edge expect log accept failed\nwait 300");
+  EXPECT_EQ(program.log().find("reason=too_many requests=0"), std::string::npos) << program.log();
   const auto before = program.processor_time();
   play(program, "wait 1000");
   EXPECT_LT(program.processor_time() - before, 300ms) << "it spins";
@@ -149,6 +156,26 @@
   EXPECT_LE(lines, 40U);
 }
 
+TEST(Instants, NobodyMakesRoomBeforeAnotherWaits) {
+  // The table fills up one by one. Guards the one that took the last descriptor, and the idlest, against
+  // being ended when the listener is looked at once more and nobody waits there.
+  if (std::getenv("DAHLIAHALL_DEPLOYED") == nullptr) GTEST_SKIP() << "run tests/run.sh, which builds it";
+  constexpr std::size_t kTable = 24;
+  StartedProgram program({"box-1", "up-1", "main"}, nullptr, kTable);
+  play(program, "bulletin expect get last=1\nbulletin send head\nbulletin send comment");
+  const auto somebody_left = [&] { return program.log().find("reason=too_many") != std::string::npos; };
+  int came = 0;
+  while (program.descriptors_held() < kTable && came < 40 && !somebody_left()) {
+    const std::string client = "idle-" + std::to_string(++came);
+    play(program, client + " send probe 1\n" + client + " expect ready 1\nbulletin send comment");
+  }
+  program.wait(50ms);
+  EXPECT_FALSE(somebody_left()) << program.log();
+  EXPECT_EQ(program.descriptors_held(), kTable);
+  play(program, "last send probe 1\nlast expect ready 1\nidle-1 expect closed");
+  EXPECT_TRUE(somebody_left()) << program.log();
+}
+
 // ---- SIGTERM at each step of a request ----
 
 /// What has happened when SIGTERM comes, and what follows.
--- a/tests/started_program.cpp
+++ b/tests/started_program.cpp
@@ -188,6 +188,13 @@
   return std::chrono::milliseconds((user + system) * 1000 / sysconf(_SC_CLK_TCK));
 }
 
+std::size_t StartedProgram::descriptors_held() const {
+  const std::filesystem::directory_iterator held("/proc/" + std::to_string(pid_) + "/fd");
+  return static_cast<std::size_t>(std::count_if(begin(held), end(held), [this](const auto& entry) {
+    return std::stoul(entry.path().filename()) < descriptors_;
+  }));
+}
+
 void StartedProgram::signal_it(int number) { tell(pid_, number); }
 
 void StartedProgram::stall_log() {
--- a/tests/started_program.h
+++ b/tests/started_program.h
@@ -45,6 +45,8 @@
   void take_a_little(const std::string& peer, std::size_t bytes);
   /// What it has used of a processor so far.
   [[nodiscard]] std::chrono::milliseconds processor_time() const;
+  /// What it holds now of the descriptors that the system gives it: those with numbers below their count.
+  [[nodiscard]] std::size_t descriptors_held() const;
   /// Stops or goes on with the process.
   void signal_it(int number);
   /// Nobody reads its log from now on, and its pipe holds little.
--- a/tests/virtual_stage.h
+++ b/tests/virtual_stage.h
@@ -108,8 +108,8 @@
   }
   /// From now on what is sent arrives at once.
   void arrive_whole() { whole_ = true; }
-  /// The system has no descriptor for a client that waits.
-  void accept_fails() { feed(edge::AcceptFailed{}); }
+  /// The system has no descriptor for a connection.
+  void run_out_of_descriptors() { feed(edge::OutOfDescriptors{}); }
   /// Connections open or coming up: now, and at most so far.
   [[nodiscard]] std::size_t connections() const { return owner_.size(); }
   [[nodiscard]] std::size_t most_connections() const { return most_connections_; }
