Read what a cache answered before the news that it has gone, then close

One effect for it: CloseWhenRead. The loop tells what has come on the connection so far, then its end; the reducer takes the answers, and what has none then may have run, as before. Nothing new goes there meanwhile, what waits is unsent, and a connection in the middle of a request is closed at once as before: the cache may not begin it after its drain. No timer, no waiting: only what had come counts. Considered first and taken back before landing: 20 ms of grace by a timer (Edge.ARestartedCachesOldConnectionsAreDropped: the refusal came 10 ms later than it allows).

Tests: Watch.AnAnswerThatCameWithTheNews..., WhatACacheThatIsGoneHasNotAnsweredWholly..., and over real connections Instants.AnAnswerThatIsUnread...

--- a/src/edge/bounds.h
+++ b/src/edge/bounds.h
@@ -54,6 +54,9 @@
 
 // ---- One connection ----
 
+/// Read at most from a connection that ends with the news that its cache has gone: what its buffers hold.
+constexpr std::size_t kMostReadOut = 8 * 1024 * 1024;
+
 /// What it may send after it was turned away, which is thrown away.
 constexpr std::size_t kMostDiscarded = 256 * 1024;
 constexpr std::size_t kMostOpenCalls = 32;
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -59,6 +59,7 @@
   void write(ConnectionId connection, std::string bytes);
   ConnectionId connect(const std::string& address, bool first = false);
   void close(ConnectionId connection);
+  void close_when_read(ConnectionId connection);
   void finish(ConnectionId connection);
   /// The end of a connection: closes it, unless the other side already has, and logs why.
   void ended(const ConnectionRecord& record, CloseReason reason, bool close_it);
--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -68,7 +68,7 @@
     // silent for ever, are not its own.
     const bool moved = !listed.address.empty() && entry.address != listed.address;
     if (listed.member.state != MemberState::gone && (entry.process != listed.process || moved)) {
-      for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_replaced, true);
+      retire(entry, CloseReason::member_replaced);
     }
     entry.member = listed.member;
     entry.process = listed.process;
@@ -76,16 +76,32 @@
   }
   for (auto& [id, entry] : members_) {
     if (entry.member.state != MemberState::gone) continue;
-    for (const ConnectionId link : std::set(entry.links)) end(link, CloseReason::member_left, true);
+    retire(entry, CloseReason::member_left);
   }
   for (auto& [id, link] : links_) drop_queued(id);
   for (const ConnectionId id : ids_of_links())
     end_if_in_write(id, [this](const Order& o) { return !may_go(o); });
-  // Guards the memory through days on which members are replaced for ever: their links ended above, and with
-  // them all attempts on them.
+  // Guards the memory through days on which members are replaced for ever: their links have ended, or will
+  // within a moment, and with them all attempts on them.
   std::erase_if(members_, [](const auto& m) { return m.second.member.state == MemberState::gone; });
 }
 
+/// The member's process has gone, or is another one now. Guards answers that it gave before against being lost
+/// unread: the list is read before them. What is not wholly written can't have been answered.
+void Pool::retire(MemberEntry& entry, CloseReason reason) {
+  for (const ConnectionId id : std::set(entry.links)) {
+    Link& link = links_.at(id);
+    if (!link.up || link.writing || link.open.empty()) {
+      end(id, reason, true);
+      continue;
+    }
+    entry.links.erase(id);
+    link.retired = reason;
+    for (const Key& key : std::deque(link.waiting)) finish(key, Ending::unsent);
+    context_.close_when_read(id);
+  }
+}
+
 std::size_t Pool::not_running() const {
   return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& m) {
     return m.second.member.state != MemberState::running;
@@ -440,13 +456,14 @@
   if (found == links_.end()) return;
   const Link link = std::move(found->second);
   links_.erase(found);
-  members_.at(link.member).links.erase(id);
-  context_.ended({"member", id, link.opened, link.requests, link.member}, reason, close_it);
+  if (const auto member = members_.find(link.member); member != members_.end()) member->second.links.erase(id);
+  context_.ended({"member", id, link.opened, link.requests, link.member}, link.retired.value_or(reason),
+                 close_it);
   for (const Key& key : link.waiting) finish(key, link.up ? Ending::unsent : Ending::unreachable);
   for (const auto& [request, number] : link.open) {
     if (reason == CloseReason::bad_answer) {
       finish_later({request, number}, Ending::spoilt);
-    } else if (close_it) {
+    } else if (close_it || link.retired) {
       finish_later({request, number}, Ending::broken);
     } else {
       finish({request, number}, Ending::broken);
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -99,6 +99,7 @@
     Time opened{0}, active{0}, heard{0};
     bool up = false, writing = false;
     std::optional<Key> in_write;  ///< the attempt in what is being written
+    std::optional<CloseReason> retired;  ///< it ends for this once what has come on it is read
     std::uint64_t requests = 0;
     int unanswered = 0;  ///< given up or timed out since anything was heard
     codec::AnswerReader reader;
@@ -124,6 +125,7 @@
   void finish(const Key& key, Ending ending, codec::CacheAnswer answer = {});
   void finish_later(const Key& key, Ending ending);
   void drop_queued(ConnectionId id);
+  void retire(MemberEntry& entry, CloseReason reason);
   void end(ConnectionId id, CloseReason reason, bool close_it);
   void on_answer(ConnectionId id, codec::CacheAnswer answer);
   void abandon(const Key& key, Ending ending);
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -135,6 +135,10 @@
 struct Close {
   ConnectionId connection = 0;
 };
+/// Reads what has come on the connection so far, told as BytesArrived, then closes it, told as Closed.
+struct CloseWhenRead {
+  ConnectionId connection = 0;
+};
 /// Wants TimerDue at this time; the newest counts.
 struct ArmTimer {
   Time at{0};
@@ -173,7 +177,7 @@
 struct PolicyEffect {
   std::variant<agreed::Append, agreed::AskTerm, agreed::Learn, agreed::ForLog, BirthFrom, VoterWanted> effect;
 };
-using Effect = std::variant<Write, Connect, Finish, Close, ArmTimer, Log, Yield, Keep, PeersEffect,
+using Effect = std::variant<Write, Connect, Finish, Close, CloseWhenRead, ArmTimer, Log, Yield, Keep, PeersEffect,
                             PeersKeep, PeersStop, PolicyEffect>;
 
 /// The state of an edge proxy.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -237,6 +237,10 @@
       const edge::Input next = std::move(pending_.front());
       pending_.pop_front();
       feed(next);
+    } else if (!to_read_out_.empty()) {
+      const edge::ConnectionId id = to_read_out_.front();
+      to_read_out_.pop_front();
+      read_out(id);
     } else if (!to_connect_.empty()) {
       const edge::Connect again = std::move(to_connect_.front());
       to_connect_.pop_front();
@@ -248,6 +252,20 @@
   end_if_empty();
 }
 
+/// What has come on the connection so far is told, then its end.
+void Server::read_out(edge::ConnectionId id) {
+  std::array<char, edge::kReadAtOnce> buffer;
+  gssize size = 1;
+  for (std::size_t read = 0; size > 0 && read < edge::kMostReadOut; read += buffer.size()) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return;
+    size = g_socket_receive(found->second->socket.get(), buffer.data(), buffer.size(), nullptr, nullptr);
+    if (size > 0)
+      feed(edge::BytesArrived{id, std::string_view(buffer.data(), static_cast<std::size_t>(size))});
+  }
+  if (connections_.erase(id) > 0) feed(edge::Closed{id});
+}
+
 void Server::feed(const edge::Input& input) {
   for (const edge::Effect& effect : edge::reduce(state_, clock_.now(), input)) {
     std::visit([this](const auto& e) { perform(e); }, effect);
@@ -534,6 +552,8 @@
   std::erase_if(to_connect_, [&close](const edge::Connect& c) { return c.connection == close.connection; });
 }
 
+void Server::perform(const edge::CloseWhenRead& close) { to_read_out_.push_back(close.connection); }
+
 void Server::perform(const edge::ArmTimer& timer) {
   const auto wait = std::max<Time>(Time{0}, timer.at - clock_.now());
   g_source_set_ready_time(timer_.get(), g_get_monotonic_time() + wait.count());
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -80,6 +80,7 @@
   void perform(const edge::Connect& connect);
   void perform(const edge::Finish& finish);
   void perform(const edge::Close& close);
+  void perform(const edge::CloseWhenRead& close);
   void perform(const edge::ArmTimer& timer);
   void perform(const edge::Log& log);
   void perform(const edge::Yield& yield);
@@ -102,6 +103,7 @@
   void ready(edge::ConnectionId id, std::uint32_t events);
   void gone(edge::ConnectionId id);
   void read(edge::ConnectionId id);
+  void read_out(edge::ConnectionId id);
   void connect(const edge::Connect& wanted, bool may_wait);
   void flush(Connection& connection);
   void end_if_empty();
@@ -122,7 +124,8 @@
   std::unique_ptr<PolicyLog> policy_;  // likewise
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
   std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
-  std::deque<edge::Connect> to_connect_;  // then these, for which another connection has made room
+  std::deque<edge::ConnectionId> to_read_out_;  // then these, then
+  std::deque<edge::Connect> to_connect_;        // these, for which another connection has made room
   bool short_of_descriptors_ = false;  // since the last client that was accepted
   edge::ConnectionId last_accepted_ = edge::kBeforeAccepted;
 };
--- a/tests/instants_test.cpp
+++ b/tests/instants_test.cpp
@@ -113,6 +113,24 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+TEST(Instants, AnAnswerThatIsUnreadWhenItsCacheIsListedAsGoneIsServed) {
+  // The list and the answer have both come by the time the program looks; it reads the list first.
+  StartedProgram program;
+  play(program, R"(
+    bulletin expect get last=1
+    bulletin send head
+    anna send 1 order unique=k
+    box-1 expect serve 1
+  )");
+  program.signal_it(SIGSTOP);
+  play(program, "box-1 send HIT 1 ver=a b");
+  play(program, R"(bulletin send {"no":2,"roster":{"revision":2,"complete":false,"members":[)" +
+                    listed("box-1", "127.0.0.1:1", "left") + "]}}");
+  program.wait(50ms);
+  program.signal_it(SIGCONT);
+  play(program, "anna expect served 1 body=b\nedge expect log closed kind=member");
+}
+
 // ---- Descriptors ----
 
 TEST(Instants, ACallerThatTheSystemHasNoDescriptorForIsServedWithoutASpin) {
--- a/tests/virtual_stage.h
+++ b/tests/virtual_stage.h
@@ -106,6 +106,10 @@
     const auto asked = asked_on_.find({peer, id});
     return asked != asked_on_.end() && owner_.count(asked->second) != 0;
   }
+  /// This has come on the connection on which the member was asked, and is not read yet.
+  void arrive_unread(const std::string& peer, const std::string& bytes) {
+    unread_[asked_on_.at({peer, bytes.substr(0, 16)})] = bytes;
+  }
   /// From now on what is sent arrives at once.
   void arrive_whole() { whole_ = true; }
   /// The system has no descriptor for a connection.
@@ -170,6 +174,12 @@
     if (e.connection == edge::kListener) listening_ = false;
     remove(e.connection);
   }
+  void perform(const edge::CloseWhenRead& e, std::vector<edge::Input>& next) {
+    const auto unread = unread_.find(e.connection);
+    if (unread != unread_.end()) next.emplace_back(edge::BytesArrived{e.connection, unread->second});
+    remove(e.connection);
+    next.emplace_back(edge::Closed{e.connection});
+  }
   void perform(const edge::ArmTimer& e, std::vector<edge::Input>&) { due_ = std::max(e.at, Time{1}); }
   void perform(const edge::Yield&, std::vector<edge::Input>&) { yields_ = true; }
   void perform(const edge::Keep& e, std::vector<edge::Input>&) { kept_ = e.text; }
@@ -193,6 +203,7 @@
   std::map<std::string, Ends> manner_;
   std::map<std::string, bool> stalled_;
   std::map<std::string, std::vector<edge::ConnectionId>> coming_up_;
+  std::map<edge::ConnectionId, std::string> unread_;
   std::set<edge::ConnectionId> undrained_, finished_;
   std::string log_, kept_;
   bool yields_ = false, whole_ = false;
--- a/tests/watches_test.cpp
+++ b/tests/watches_test.cpp
@@ -155,6 +155,41 @@
   }
 }
 
+/// The list says that this member has gone, or is another process now.
+std::string gone(const std::string& id) {
+  return R"(bulletin send {"no":2,"roster":{"revision":2,"complete":false,"members":[)" +
+         listed(id, id + ":1", "left") + "]}}\n";
+}
+std::string replaced(const std::string& id) {
+  return R"(bulletin send {"no":2,"roster":{"revision":2,"complete":false,"members":[)" +
+         listed(id, id + ":1", "active", 1764576000123) + "]}}\n";
+}
+
+TEST(Watch, AnAnswerThatCameWithTheNewsThatItsCacheIsGoneIsServed) {
+  // The list is read first. Guards the answer, which is not read yet then, and a keyed request against being
+  // taken for one that may have run and gave nothing.
+  for (const std::string& news : {gone("box-1"), replaced("box-1")}) {
+    SCOPED_TRACE(news);
+    VirtualStage stage;
+    play(stage, "bulletin send head\nanna send 1 order unique=k\nbox-1 expect serve 1");
+    stage.arrive_unread("box-1", "0000000000000001 HIT ver=a 1\r\nb\r\n");
+    play(stage, news + "anna expect served 1 body=b\nedge expect log closed kind=member");
+    EXPECT_EQ(stage.log().find("wrong request="), std::string::npos) << stage.log();
+  }
+}
+
+TEST(Watch, WhatACacheThatIsGoneHasNotAnsweredWhollyMayHaveRun) {
+  // Guards the rules on drains and repeats: nothing new goes there, and what has not come by now is not waited
+  // for. What the connection still brings is no answer to the further attempt.
+  VirtualStage stage({"box-1", "box-2", "up-1", "main"});
+  play(stage, "bulletin send head\nanna send 1 pages\nwait 1");
+  const bool one = !stage.received("box-1").empty();
+  const std::string first = one ? "box-1" : "box-2", other = one ? "box-2" : "box-1";
+  stage.arrive_unread(first, "0000000000000001 HIT ver=a 4\r\nhal");
+  play(stage, gone(first) + "edge expect log reason=member_left requests=1\nwait 10\n" + other +
+                  " expect serve 1\n" + other + " send HIT 1 ver=a b\nanna expect served 1 body=b");
+}
+
 // ---- Repeats ----
 
 /// An order that may have run at one cache; the other one's connections come up late.
