--- a/src/limits/shares.cpp
+++ b/src/limits/shares.cpp
@@ -39,6 +39,8 @@
 void Shares::take(Time now, const Roster& roster, const std::set<std::string>& gone_in_order,
                   bool takes_part) {
   const auto before = std::exchange(roster_, roster);
+  names_ = 0;
+  for (const auto& [name, holder] : roster_) names_ += hash_of(name);
   for (const auto& [name, holder] : before) {
     const auto is = roster_.find(name);
     if (is != roster_.end() && is->second.disk == holder.disk) continue;
@@ -75,7 +77,7 @@
     if (acked.sure) h.heard_sure.insert(acked.by);
   }
   if (acked.counts == self->second.disk) {
-    if (acked.roster == names()) counted_by_.insert(acked.by);
+    if (acked.roster == names_) counted_by_.insert(acked.by);
     if (acked.sure) renewed_[acked.by] = std::max(renewed_[acked.by], acked.sent);
   }
   settle(now);
@@ -83,7 +85,9 @@
 
 void Shares::settle(Time now) {
   for (Haunting& h : ghosts_) {
-    if (h.over > Time{0}) continue;
+    // Itself and the one whose name it is are the only ones that need not have heard: with fewer it is not worth
+    // to look at each, as at each answer in a fleet of many with ghosts.
+    if (h.over > Time{0} || h.heard.size() + 2 < roster_.size()) continue;
     std::size_t sure = sure_ ? 1 : 0;
     const bool all = std::all_of(roster_.begin(), roster_.end(), [&](const auto& member) {
       return member.first == settings_.name || member.first == h.ghost.name ||
@@ -96,11 +100,10 @@
   }
   std::erase_if(ghosts_, [now](const Haunting& h) { return h.over > Time{0} && h.over <= now; });
   if (sure_ || !takes_part_ || now < not_before_) return;
-  const bool all = std::all_of(roster_.begin(), roster_.end(), [this](const auto& member) {
-    return member.first == settings_.name || counted_by_.count(member.first) != 0;
-  });
+  // All others: those in `counted_by_` are registered, and itself is not among them.
+  const bool all = counted_by_.size() + 1 == roster_.size() && roster_.count(settings_.name) != 0;
   // Guards against halves of a new fleet that never met: each would take the whole for its own.
-  sure_ = all && roster_.count(settings_.name) != 0 && roster_.size() * 2 > settings_.expected;
+  sure_ = all && roster_.size() * 2 > settings_.expected;
 }
 
 std::size_t Shares::unregistered_ghosts() const {
@@ -141,12 +144,6 @@
   return haunted ? 0 : found->second.disk;
 }
 
-std::uint64_t Shares::names() const {
-  std::uint64_t sum = 0;
-  for (const auto& [name, holder] : roster_) sum += hash_of(name);
-  return sum;
-}
-
 std::vector<std::string> Shares::marks() const {
   std::vector<std::string> names;
   for (const Haunting& h : ghosts_) {
--- a/src/limits/shares.h
+++ b/src/limits/shares.h
@@ -87,7 +87,7 @@
   [[nodiscard]] bool sure() const { return sure_; }
   /// The disk under which a member is counted, to be told to it; 0: not yet.
   [[nodiscard]] std::uint64_t counts(const std::string& name) const;
-  [[nodiscard]] std::uint64_t names() const;  ///< of the names that are counted: alike for the same ones
+  [[nodiscard]] std::uint64_t names() const { return names_; }  ///< of those counted: alike for the same ones
   /// Names of ghosts that others have to hear of, and the mark of what they then have heard.
   [[nodiscard]] std::vector<std::string> marks() const;
   [[nodiscard]] std::uint64_t told() const { return told_; }
@@ -110,6 +110,7 @@
   Settings settings_;
   Time not_before_;
   Roster roster_;
+  std::uint64_t names_ = 0;
   bool sure_ = false, takes_part_ = true;
   std::set<std::string> counted_by_;
   std::map<std::string, Time> renewed_;  // when the ping went that a sure member answered last
--- a/src/peers/reducer.cpp
+++ b/src/peers/reducer.cpp
@@ -379,26 +379,13 @@
 
 /// Looks for those that are not reached: cuts heal by themselves, and one that knows nobody asks its seeds.
 void State::seek() {
-  std::vector<std::string> lost;
-  for (const auto& [name, member] : view_.members()) {
-    if (name != settings_.name && registered(member.news.state) && !reachable(member.news.state))
-      lost.push_back(name);
-  }
-  if (!lost.empty() && takes_part()) {
-    const std::string& name = lost[random_() % lost.size()];
+  if (sought_at_ != view_.revision()) look_for_lost();
+  if (!lost_.empty() && takes_part()) {
+    const std::string& name = lost_[random_() % lost_.size()];
     send(name, message(Kind::ping, name, ++number_));
   }
-  std::vector<std::string> strange;
-  for (const std::string& seed : settings_.seeds) {
-    const auto is_there = [&](const auto& entry) {
-      const News& news = entry.second.news;
-      return registered(news.state) && (news.address == seed || route(news.address) == seed);
-    };
-    const auto& members = view_.members();
-    if (std::none_of(members.begin(), members.end(), is_there)) strange.push_back(seed);
-  }
-  if (strange.empty()) return;
-  const std::string& seed = strange[random_() % strange.size()];
+  if (strange_.empty()) return;
+  const std::string& seed = strange_[random_() % strange_.size()];
   // Guards against islands: those that found each other first go on asking seeds that none of them is.
   if (view_.reached() > 1) {
     if (takes_part()) effects_.emplace_back(Send{seed, message(Kind::ping, "", ++number_)});
@@ -409,6 +396,22 @@
   effects_.emplace_back(Exchange{seed, std::move(m)});
 }
 
+/// Who is registered and not reached, and which seeds are no member's: looked for anew only where the view has
+/// changed, since that looks at every member.
+void State::look_for_lost() {
+  sought_at_ = view_.revision();
+  lost_.clear();
+  std::set<std::string> strange(settings_.seeds.begin(), settings_.seeds.end());
+  for (const auto& [name, member] : view_.members()) {
+    const News& news = member.news;
+    if (!registered(news.state)) continue;
+    if (name != settings_.name && !reachable(news.state)) lost_.push_back(name);
+    strange.erase(news.address);
+    strange.erase(route(news.address));
+  }
+  strange_.assign(strange.begin(), strange.end());
+}
+
 void State::gossip() {
   if (!takes_part() && self().state != Liveness::disputed) return;
   for (const std::string& name : some(static_cast<std::size_t>(settings_.gossip_to), "")) {
--- a/src/peers/reducer.h
+++ b/src/peers/reducer.h
@@ -147,6 +147,7 @@
   void ask_others(std::uint64_t number, Probe& probe);
   void judge(const Probe& probe);
   void seek();
+  void look_for_lost();
   void gossip();
   void look_again();
   void exchange_with(const std::string& name);
@@ -189,6 +190,8 @@
   std::size_t turn_ = 0;
   std::set<std::pair<Time, std::string>> suspects_;  // by when they count as dead
   std::map<std::string, Time> differs_;              // since when
+  std::vector<std::string> lost_, strange_;          // see look_for_lost(), as of
+  std::uint64_t sought_at_ = 0;                      // this revision of the view
   Time next_probe_, next_gossip_, next_seek_, next_exchange_;
   Time exchanged_{0};
   Time refusal_told_{-10'000'000};
