Keep ghosts on the disk: an old disk behind a cut outlived those who knew of it

Seen: the case that docs/peers.md named as not covered. A schedule makes it happen every time (Shares.AnOldDiskBehindACutIsCountedByThoseWhoRestartMeanwhile): a name's machine is replaced while the old one runs, nobody meets the new one for nearly a lease, then the old one is cut off and all others restart. Parts in use: 1.125 of the whole.

Cause: those who restart have the new disk in their list and nothing of the old one (State::kept holds one record a name; ghosts_of read forgotten ones only), so the new one is sure a lease after its own start, while the old one's lease runs from when they met. Ruled out: `not_before` (it counts from the start, which is all that a new disk can know) and the old one's own end (it stops in time by its clock).

Change: kept() adds those who may still use a share as records of no life (incarnation 0), which go to nobody else and are read back as ghosts; a change of their number asks for the disk. A name that is replaced again and again leaves one ghost: who heard of the newest one renews none before it (they grew without end while a member was missing).

Test for the bound: ANameWhoseDiskIsNewAgainAndAgainLeavesOneGhost.

--- a/src/limits/shares.cpp
+++ b/src/limits/shares.cpp
@@ -28,6 +28,12 @@
 void Shares::haunt(Ghost ghost) {
   const auto same = [&ghost](const Haunting& h) { return h.ghost == ghost; };
   if (std::any_of(ghosts_.begin(), ghosts_.end(), same)) return;
+  // Guards the memory against a name whose disk is new again and again while somebody is missing. Who has
+  // heard of the newest one renews none of those before any more, so its end is theirs as well.
+  if (ghost.replaced) {
+    std::erase_if(ghosts_,
+                  [&ghost](const Haunting& h) { return h.ghost.replaced && h.ghost.name == ghost.name; });
+  }
   ghosts_.push_back({std::move(ghost), ++told_, {}, {}, Time{0}});
 }
 
@@ -85,8 +91,8 @@
 
 void Shares::settle(Time now) {
   for (Haunting& h : ghosts_) {
-    // Itself and the one whose name it is are the only ones that need not have heard: with fewer it is not worth
-    // to look at each, as at each answer in a fleet of many with ghosts.
+    // Itself and the one whose name it is are the only ones that need not have heard: with fewer it is not
+    // worth to look at each, as at each answer in a fleet of many with ghosts.
     if (h.over > Time{0} || h.heard.size() + 2 < roster_.size()) continue;
     std::size_t sure = sure_ ? 1 : 0;
     const bool all = std::all_of(roster_.begin(), roster_.end(), [&](const auto& member) {
@@ -144,6 +150,12 @@
   return haunted ? 0 : found->second.disk;
 }
 
+std::vector<Shares::Ghost> Shares::known_ghosts() const {
+  std::vector<Ghost> all;
+  for (const Haunting& h : ghosts_) all.push_back(h.ghost);
+  return all;
+}
+
 std::vector<std::string> Shares::marks() const {
   std::vector<std::string> names;
   for (const Haunting& h : ghosts_) {
--- a/src/limits/shares.h
+++ b/src/limits/shares.h
@@ -92,6 +92,7 @@
   [[nodiscard]] std::vector<std::string> marks() const;
   [[nodiscard]] std::uint64_t told() const { return told_; }
   [[nodiscard]] std::size_t ghosts() const { return ghosts_.size(); }
+  [[nodiscard]] std::vector<Ghost> known_ghosts() const;
 
  private:
   struct Haunting {
--- a/src/peers/reducer.cpp
+++ b/src/peers/reducer.cpp
@@ -26,15 +26,24 @@
 constexpr double kDrift = 0.01;
 constexpr double kReserve = 0.1;
 
-/// Those that were forgotten may not have stopped by the time of a start.
+/// Those that were forgotten, or replaced, may not have stopped by the time of a start.
 std::vector<limits::Shares::Ghost> ghosts_of(const std::vector<News>& known) {
+  std::map<std::string, std::uint64_t> disks;
+  for (const News& news : known) {
+    if (registered(news.state)) disks[news.name] = news.disk;
+  }
   std::vector<limits::Shares::Ghost> ghosts;
   for (const News& news : known) {
-    if (news.state == Liveness::forgotten) ghosts.push_back({news.name, {news.disk, news.zone}, false});
+    if (news.state != Liveness::forgotten) continue;
+    const auto now = disks.find(news.name);
+    ghosts.push_back({news.name, {news.disk, news.zone}, now != disks.end() && now->second != news.disk});
   }
   return ghosts;
 }
 
+/// A ghost as it is kept: of no life of that name, so that it is older than all other news of it.
+constexpr std::uint64_t kGhost = 0;
+
 }  // namespace
 
 State::State(Settings settings, Identity identity, std::uint64_t seed, Time now)
@@ -61,7 +70,7 @@
               {}},
              now);
   for (News& news : identity.known) {
-    if (news.name == settings_.name) continue;
+    if (news.name == settings_.name || news.incarnation == kGhost) continue;
     // What was believed of them is old; that they are registered is not.
     if (news.state == Liveness::suspect || news.state == Liveness::dead) news.state = Liveness::alive;
     news.by.clear();
@@ -94,6 +103,7 @@
   std::visit([this](const auto& in) { on(in); }, input);
   if (!left_) run_due();
   if (recount_) count_members();
+  if (std::exchange(ghosts_kept_, shares_.ghosts()) != shares_.ghosts()) effects_.emplace_back(Keep{});
   return std::exchange(effects_, {});
 }
 
@@ -134,7 +144,7 @@
   sender->heard = now_;
   if (in.stream != 0 && m.kind == Kind::whole) {
     Message answer = message(Kind::whole_answer, m.from.name, m.number);
-    answer.news = kept();
+    answer.news = all_news();
     effects_.emplace_back(Answer{in.stream, std::move(answer)});
   }
   compare(m);
@@ -392,12 +402,12 @@
     return;
   }
   Message m = message(Kind::whole, "", ++number_);
-  m.news = kept();
+  m.news = all_news();
   effects_.emplace_back(Exchange{seed, std::move(m)});
 }
 
-/// Who is registered and not reached, and which seeds are no member's: looked for anew only where the view has
-/// changed, since that looks at every member.
+/// Who is registered and not reached, and which seeds are no member's: looked for anew only where the view
+/// has changed, since that looks at every member.
 void State::look_for_lost() {
   sought_at_ = view_.revision();
   lost_.clear();
@@ -438,7 +448,7 @@
   ++counts_.exchanges;
   exchanged_ = now_;
   Message m = message(Kind::whole, name, ++number_);
-  m.news = kept();
+  m.news = all_news();
   effects_.emplace_back(Exchange{address_of(name), std::move(m)});
 }
 
@@ -543,6 +553,24 @@
 }
 
 std::vector<News> State::kept() const {
+  std::vector<News> all = all_news();
+  for (const limits::Shares::Ghost& ghost : shares_.known_ghosts()) {
+    const Member* member = view_.find(ghost.name);
+    if (member != nullptr && member->news.state == Liveness::forgotten &&
+        member->news.disk == ghost.holder.disk)
+      continue;  // it is there already
+    all.push_back({ghost.name,
+                   settings_.address,
+                   ghost.holder.disk,
+                   kGhost,
+                   ghost.holder.zone,
+                   Liveness::forgotten,
+                   {}});
+  }
+  return all;
+}
+
+std::vector<News> State::all_news() const {
   std::vector<News> all;
   all.reserve(view_.members().size());
   for (const auto& [name, member] : view_.members()) all.push_back(member.news);
--- a/src/peers/reducer.h
+++ b/src/peers/reducer.h
@@ -107,7 +107,8 @@
   [[nodiscard]] int doubt() const { return doubt_; }
   /// Members that told another view than this one's last, and since when the first of them has.
   [[nodiscard]] std::pair<std::size_t, Time> differing() const;
-  /// Registered members and itself, for the next process.
+  /// For the next process: registered members and itself, marks of those that have gone, and those that may
+  /// still use a share though another disk has their name.
   [[nodiscard]] std::vector<News> kept() const;
   /// Entries of all tables: grows with the members, never with what was ever seen.
   [[nodiscard]] std::size_t entries() const;
@@ -161,6 +162,7 @@
   void set_way(Member& member, Way way);
   void compare(const Message& message);
   void count_members();
+  [[nodiscard]] std::vector<News> all_news() const;
   std::uint64_t add_marks(Message& message) const;
 
   Message message(Kind kind, const std::string& to, std::uint64_t number);
@@ -196,6 +198,7 @@
   Time exchanged_{0};
   Time refusal_told_{-10'000'000};
   limits::Shares shares_;
+  std::size_t ghosts_kept_ = 0;
   bool recount_ = true;  // who is registered has changed
   std::vector<Effect> effects_;
 };
--- a/tests/peers_world.h
+++ b/tests/peers_world.h
@@ -199,7 +199,7 @@
   double loss = 0;
   double drift = 0;  ///< clocks go this much faster or slower, at most; set before any time has passed
   bool logs = true;
-  std::uint64_t to_nobody = 0;  ///< messages to members that do not run
+  std::uint64_t to_nobody = 0;                               ///< messages to members that do not run
   bool weigh = false;                                        ///< counts bytes as they are on the wire
   std::function<bool(std::size_t, std::size_t)> cut;         ///< from, to
   std::function<Time(std::size_t, std::size_t)> more_delay;  ///< from, to
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using limits::Shares;
+using Time = Shares::Time;
 using peers::Liveness;
 
 constexpr auto kLease = 6s;
@@ -133,6 +134,59 @@
   EXPECT_TRUE(world->node(1).state->shares().part(world->local(1)).held) << "the lease has run out since";
 }
 
+TEST(Shares, ANameWhoseDiskIsNewAgainAndAgainLeavesOneGhost) {
+  Shares shares({"n0", kLease, 0.01, 0.1, 3, 64}, Time{0}, {});
+  for (std::uint64_t disk = 1; disk <= 500; ++disk) {
+    // n2 is missing: it never hears of any of them.
+    shares.take(Time{1s}, {{"n0", {1, 0}}, {"n1", {disk, 0}}, {"n2", {1, 0}}}, {}, true);
+    shares.take(Time{1s}, Shares::Acked{"n1", Time{1s}, shares.told(), 1, shares.names(), true});
+  }
+  EXPECT_EQ(shares.ghosts(), 1U);
+  ASSERT_EQ(shares.known_ghosts().size(), 1U);
+  EXPECT_EQ(shares.known_ghosts().front().holder.disk, 499U);
+  EXPECT_EQ(shares.counts("n1"), 0U) << "not before the others' leases are over";
+  EXPECT_FALSE(shares.sure());
+}
+
+TEST(Shares, AnOldDiskBehindACutIsCountedByThoseWhoRestartMeanwhile) {
+  // A name's machine is replaced while the old one runs behind a cut. The new one, which nobody meets for
+  // nearly a lease, is sure a lease after its start; the old one's lease, renewed until they met, ends that
+  // much later. Those that knew so restart in between: guards what they have to remember.
+  const auto world = sharing(5);
+  world->drift = 0;
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 5); }, 20s));
+  world->feed(4, peers::StopAsked{});
+  world->run(50ms);
+  world->kill(4);
+  ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 4); }, 10s));
+  // Node 4 is the new machine under the name n3, alone at first.
+  world->cut = [](std::size_t a, std::size_t b) { return a == 4 || b == 4; };
+  peers::Settings settings = world->node(3).state->settings();
+  settings.address = PeersWorld::address(4);
+  world->node(4).state = std::make_unique<peers::State>(
+      settings, peers::Identity{99, std::uint64_t{9} << peers::kLifeBits, true, {}}, 7, world->local(4));
+  world->feed(4, peers::Due{});
+  world->run(kLease - 1s);
+  world->cut = [](std::size_t a, std::size_t b) { return a == 3 || b == 3; };
+  ASSERT_TRUE(world->until(
+      [&] {
+        return world->seen(0, 3)->news.disk == 99 && world->seen(1, 3)->news.disk == 99 &&
+               world->seen(2, 3)->news.disk == 99;
+      },
+      3s))
+      << world->node(0).log;
+  for (const std::size_t i : {0U, 1U, 2U}) {
+    world->kill(i);
+    world->start(i, false);
+  }
+  for (int i = 0; i < 200; ++i) {
+    world->run(100ms);
+    ASSERT_LE(used(*world), 1.0 + 1e-9) << i;
+  }
+  EXPECT_TRUE(world->until([&] { return world->node(4).state->shares().part(world->local(4)).held; }, 30s))
+      << "the old one's lease has run out: the new one is counted";
+}
+
 TEST(Shares, AsManyThatComeBackAreNotSureBeforeAllCountThem) {
   const auto world = sharing(8);
   ASSERT_TRUE(world->until([&] { return all_hold(*world, 0.9 / 8); }, 20s));
