--- a/bench/slow_start_figures.cpp
+++ b/bench/slow_start_figures.cpp
@@ -33,7 +33,8 @@
       {"no weights or sizes", plan([](auto& p) { p.weights = Weights::none, p.sizes_told = false; })},
   };
   std::printf(
-      "routers plan                     worst: cache parent  over 2: cache parent  used: cache parent  served\n");
+      "routers plan                     worst: cache parent  over 2: cache parent  used: cache parent  "
+      "served\n");
   for (const int routers : {3, 20, 30, 300}) {
     for (const auto& [name, drawn] : plans) {
       double cache = -1e9, parent = -1e9, cache_used = 0, parent_used = 0, served = 0;
--- a/src/edge/bulletin_link.cpp
+++ b/src/edge/bulletin_link.cpp
@@ -11,9 +11,9 @@
 constexpr std::string_view kPath = "/bulletins";
 // A comment comes each second: a link without a byte for this long is dead, though nobody says so.
 constexpr Time kSilence = 2500ms;
-// Nor does one tell anything on which bytes come but no line ends. What the bulletin has to tell counts as told
-// 7 s later at the latest: there is time left to ask for it anew. Longer than the silence, since a long line may
-// come in pieces.
+// Nor does one tell anything on which bytes come but no line ends. What the bulletin has to tell counts as
+// told 7 s later at the latest: there is time left to ask for it anew. Longer than the silence, since a long
+// line may come in pieces.
 constexpr Time kLineWithin = 5s;
 // With a connection that does not come up, or says nothing at all yet, at first: half the time after which
 // what is asked for binds, within these. Each further one is given twice the time, up to the silence that
--- a/src/edge/context.cpp
+++ b/src/edge/context.cpp
@@ -18,9 +18,7 @@
 
 void Context::close(ConnectionId connection) { effects.emplace_back(Close{connection}); }
 
-void Context::close_when_read(ConnectionId connection) {
-  effects.emplace_back(CloseWhenRead{connection});
-}
+void Context::close_when_read(ConnectionId connection) { effects.emplace_back(CloseWhenRead{connection}); }
 
 void Context::finish(ConnectionId connection) { effects.emplace_back(Finish{connection}); }
 
--- a/src/edge/pool.cpp
+++ b/src/edge/pool.cpp
@@ -86,8 +86,8 @@
   std::erase_if(members_, [](const auto& m) { return m.second.member.state == MemberState::gone; });
 }
 
-/// The member's process has gone, or is another one now. Guards answers that it gave before against being lost
-/// unread: the list is read before them. What is not wholly written can't have been answered.
+/// The member's process has gone, or is another one now. Guards answers that it gave before against being
+/// lost unread: the list is read before them. What is not wholly written can't have been answered.
 void Pool::retire(MemberEntry& entry, CloseReason reason) {
   for (const ConnectionId id : std::set(entry.links)) {
     Link& link = links_.at(id);
@@ -456,7 +456,8 @@
   if (found == links_.end()) return;
   const Link link = std::move(found->second);
   links_.erase(found);
-  if (const auto member = members_.find(link.member); member != members_.end()) member->second.links.erase(id);
+  if (const auto member = members_.find(link.member); member != members_.end())
+    member->second.links.erase(id);
   context_.ended({"member", id, link.opened, link.requests, link.member}, link.retired.value_or(reason),
                  close_it);
   for (const Key& key : link.waiting) finish(key, link.up ? Ending::unsent : Ending::unreachable);
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -98,7 +98,7 @@
     std::string member;
     Time opened{0}, active{0}, heard{0};
     bool up = false, writing = false;
-    std::optional<Key> in_write;  ///< the attempt in what is being written
+    std::optional<Key> in_write;         ///< the attempt in what is being written
     std::optional<CloseReason> retired;  ///< it ends for this once what has come on it is read
     std::uint64_t requests = 0;
     int unanswered = 0;  ///< given up or timed out since anything was heard
--- a/src/edge/reducer.h
+++ b/src/edge/reducer.h
@@ -177,8 +177,8 @@
 struct PolicyEffect {
   std::variant<agreed::Append, agreed::AskTerm, agreed::Learn, agreed::ForLog, BirthFrom, VoterWanted> effect;
 };
-using Effect = std::variant<Write, Connect, Finish, Close, CloseWhenRead, ArmTimer, Log, Yield, Keep, PeersEffect,
-                            PeersKeep, PeersStop, PolicyEffect>;
+using Effect = std::variant<Write, Connect, Finish, Close, CloseWhenRead, ArmTimer, Log, Yield, Keep,
+                            PeersEffect, PeersKeep, PeersStop, PolicyEffect>;
 
 /// The state of an edge proxy.
 class State {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -510,8 +510,8 @@
   const auto where = address_of(wanted.address);
   Error error;
   ObjectPtr<GSocket> socket = where ? new_socket(where.get(), error) : nullptr;
-  // Guards the caches and the bulletin against clients that have taken the last descriptors: one of them makes
-  // room, and it is tried once more.
+  // Guards the caches and the bulletin against clients that have taken the last descriptors: one of them
+  // makes room, and it is tried once more.
   if (!socket && may_wait && error.is(G_IO_ERROR_TOO_MANY_OPEN_FILES)) {
     pending_.push_back(edge::OutOfDescriptors{});
     to_connect_.push_back(wanted);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -123,10 +123,10 @@
   std::unique_ptr<PeerLink> peers_;    // none unless configured
   std::unique_ptr<PolicyLog> policy_;  // likewise
   std::map<edge::ConnectionId, std::unique_ptr<Connection>> connections_;
-  std::deque<edge::Input> pending_;  // inputs that effects themselves gave rise to
+  std::deque<edge::Input> pending_;             // inputs that effects themselves gave rise to
   std::deque<edge::ConnectionId> to_read_out_;  // then these, then
   std::deque<edge::Connect> to_connect_;        // these, for which another connection has made room
-  bool short_of_descriptors_ = false;  // since the last client that was accepted
+  bool short_of_descriptors_ = false;           // since the last client that was accepted
   edge::ConnectionId last_accepted_ = edge::kBeforeAccepted;
 };
 
--- a/tests/crowded_world.h
+++ b/tests/crowded_world.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 /// @file
-/// A few routers in virtual time over the real module, with caches, parents and an origin that work on so many
-/// requests at once and let the others wait: who is answered when there is too much to do.
+/// A few routers in virtual time over the real module, with caches, parents and an origin that work on so
+/// many requests at once and let the others wait: who is answered when there is too much to do.
 #pragma once
 
 #include <algorithm>
@@ -22,9 +22,9 @@
 namespace dahliahall::test {
 
 struct CrowdedPlan {
-  double load = 0.6;           ///< what is asked, over what the caches can send
-  double parents = 1;          ///< seats of the parents from the fifth to the fifteenth second, over the usual
-  bool all_void = false;       ///< no cache or parent holds anything from the fifth second on
+  double load = 0.6;       ///< what is asked, over what the caches can send
+  double parents = 1;      ///< seats of the parents from the fifth to the fifteenth second, over the usual
+  bool all_void = false;   ///< no cache or parent holds anything from the fifth second on
   double heavy_kb = 3200;  ///< mean size in the class of large objects; pages have a sixth of it
   std::uint64_t seed = 1;
 };
@@ -52,14 +52,20 @@
     order.aim = 600ms;
     order.memory = 2s;
     settings_.classes = {video, pages, order};
-    for (const auto& [id, seats] : {std::pair{"cache-a", 6}, {"cache-b", 6}, {"cache-c", 6}, {"cache-d", 6},
-                                    {"parent-a", 8}, {"parent-b", 8}, {"origin", 12}})
+    for (const auto& [id, seats] : {std::pair{"cache-a", 6},
+                                    {"cache-b", 6},
+                                    {"cache-c", 6},
+                                    {"cache-d", 6},
+                                    {"parent-a", 8},
+                                    {"parent-b", 8},
+                                    {"origin", 12}})
       stations_[id].seats = seats;
   }
 
   CrowdedResult run() {
-    std::vector<Member> list{sized("cache-a", 0, 2, 6),   sized("cache-b", 0, 2, 6),   sized("cache-c", 0, 2, 6),
-                             sized("cache-d", 0, 2, 6),   sized("parent-a", 1, 0, 24), sized("parent-b", 1, 1, 24),
+    std::vector<Member> list{sized("cache-a", 0, 2, 6),   sized("cache-b", 0, 2, 6),
+                             sized("cache-c", 0, 2, 6),   sized("cache-d", 0, 2, 6),
+                             sized("parent-a", 1, 0, 24), sized("parent-b", 1, 1, 24),
                              sized("origin", 2, 0, 1)};
     for (int i = 0; i < kRouters; ++i) {
       routers_.push_back(std::make_unique<Router>(settings_, draws_()));
@@ -111,7 +117,9 @@
     return m;
   }
   static Time seconds_of(double s) { return Time{static_cast<std::int64_t>(s * 1e6)}; }
-  void at(Time when, std::function<void()> what) { events_.emplace(std::pair(when, ++order_), std::move(what)); }
+  void at(Time when, std::function<void()> what) {
+    events_.emplace(std::pair(when, ++order_), std::move(what));
+  }
   double mean_kb(int request_class) const { return plan_.heavy_kb / (request_class == 0 ? 1 : 6); }
   Time gap() {
     const double mean = (0.55 * mean_kb(0) + 0.45 * mean_kb(1)) / kPace;
@@ -152,7 +160,8 @@
   void feed(int i, const Event& event) {
     for (const Action& action : routers_[static_cast<std::size_t>(i)]->handle(now_, event)) {
       if (const auto* a = std::get_if<Attempt>(&action)) send(*a);
-      if (const auto* w = std::get_if<Wake>(&action)) at(now_ + w->after, [this, i] { feed(i, TimerFired{1}); });
+      if (const auto* w = std::get_if<Wake>(&action))
+        at(now_ + w->after, [this, i] { feed(i, TimerFired{1}); });
       if (const auto* c = std::get_if<Cancel>(&action)) {
         const auto job = jobs_.find({c->request, c->attempt});
         if (job != jobs_.end()) end(job->second, Ending::cancelled);
@@ -174,7 +183,8 @@
         at(now_ + 2ms, [this, job] { end(job, Ending::missing); });
         return;
       }
-      if (a.source != "origin" && !holds(a.source, asked.object)) job->steps.emplace_back("origin", filling + 40ms);
+      if (a.source != "origin" && !holds(a.source, asked.object))
+        job->steps.emplace_back("origin", filling + 40ms);
       job->steps.emplace_back(a.source, filling + 10ms);
     }
     job->steps.emplace_back(a.member, sending);
@@ -256,7 +266,8 @@
       std::sort(of_class.rbegin(), of_class.rend());
       const auto share = [&](std::size_t count) {
         const auto end = of_class.begin() + static_cast<std::ptrdiff_t>(count);
-        return static_cast<double>(std::count_if(of_class.begin(), end, [](const auto& a) { return a.second; })) /
+        return static_cast<double>(
+                   std::count_if(of_class.begin(), end, [](const auto& a) { return a.second; })) /
                static_cast<double>(std::max<std::size_t>(1, count));
       };
       result.all.push_back(share(of_class.size()));
--- a/tests/instants_test.cpp
+++ b/tests/instants_test.cpp
@@ -154,7 +154,8 @@
   if (std::getenv("DAHLIAHALL_DEPLOYED") == nullptr) GTEST_SKIP() << "run tests/run.sh, which builds it";
   StartedProgram program({"box-1", "up-1", "main"}, nullptr, 24);
   // A connection to the cache is up, so that all who come are owed an answer: it takes 32 requests.
-  play(program, "anna send 31 pages\nbox-1 expect serve 31\nbox-1 send HIT 31 ver=a b\nanna expect served 31");
+  play(program,
+       "anna send 31 pages\nbox-1 expect serve 31\nbox-1 send HIT 31 ver=a b\nanna expect served 31");
   // They have all come, and asked, before the first is accepted. Those that have come up are not to be taken
   // for idle because nobody has read yet what they ask.
   program.signal_it(SIGSTOP);
--- a/tests/watches_test.cpp
+++ b/tests/watches_test.cpp
@@ -179,8 +179,8 @@
 }
 
 TEST(Watch, WhatACacheThatIsGoneHasNotAnsweredWhollyMayHaveRun) {
-  // Guards the rules on drains and repeats: nothing new goes there, and what has not come by now is not waited
-  // for. What the connection still brings is no answer to the further attempt.
+  // Guards the rules on drains and repeats: nothing new goes there, and what has not come by now is not
+  // waited for. What the connection still brings is no answer to the further attempt.
   VirtualStage stage({"box-1", "box-2", "up-1", "main"});
   play(stage, "bulletin send head\nanna send 1 pages\nwait 1");
   const bool one = !stage.received("box-1").empty();
