One piece for the openings that pairs of tests shared

tests/watches_test.cpp and tests/closing_test.cpp: a request stuck at a cache that reads nothing, a client that asks and never reads. The steps and expectations are the same as before; the drain's test now also names the source of the stuck request.

--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -107,16 +107,18 @@
   play(stage, "box-1 send HIT 1 ver=a b\nbert expect served 1");
 }
 
-TEST(Closing, AClientThatAsksAndNeverReadsIsCutOffOnceNobodyWaitsAnyLonger) {
-  // Guards the descriptors: it would be taken for a busy one for ever. The longest deadline is 5 s.
-  VirtualStage stage;
-  play(stage, R"(
+/// A client asks, and never reads the answer.
+constexpr const char* kNeverReads = R"(
     anna send 1 pages
     box-1 expect serve 1
     anna close deaf
     box-1 send HIT 1 ver=a b
-    wait 4900
-  )");
+)";
+
+TEST(Closing, AClientThatAsksAndNeverReadsIsCutOffOnceNobodyWaitsAnyLonger) {
+  // Guards the descriptors: it would be taken for a busy one for ever. The longest deadline is 5 s.
+  VirtualStage stage;
+  play(stage, std::string(kNeverReads) + "wait 4900");
   EXPECT_FALSE(stage.closed("anna"));
   play(stage, "wait 200\nedge expect log closed kind=front conn=1 reason=backlog");
 }
@@ -125,14 +127,7 @@
 
 TEST(Closing, AClientThatNeverReadsDoesNotKeepTheProcessFromEnding) {
   VirtualStage stage;
-  play(stage, R"(
-    anna send 1 pages
-    box-1 expect serve 1
-    anna close deaf
-    box-1 send HIT 1 ver=a b
-    edge send TERM
-    wait 3300
-  )");
+  play(stage, std::string(kNeverReads) + "edge send TERM\nwait 3300");
   EXPECT_FALSE(stage.stopped());
   play(stage, "wait 350\nedge expect stopped\nedge expect log closed kind=front conn=1 reason=stopping");
 }
--- a/tests/watches_test.cpp
+++ b/tests/watches_test.cpp
@@ -119,10 +119,8 @@
   )");
 }
 
-TEST(Watch, ADrainEndsTheConnectionOnWhichARequestIsStuck) {
-  // Guards the drain: the member reads again seconds later, and the request would begin then.
-  VirtualStage stage({"box-1", "up-1", "main"});
-  play(stage, R"(
+/// A request is on its way to a cache that has served one and reads nothing any more.
+constexpr const char* kStuck = R"(
     bulletin expect get last=1
     bulletin send head
     anna send 1 pages
@@ -131,8 +129,13 @@
     anna expect served 1
     box-1 close deaf
     anna send 2 pages
-    box-1 expect serve 2
-  )");
+    box-1 expect serve 2 from=up-1
+)";
+
+TEST(Watch, ADrainEndsTheConnectionOnWhichARequestIsStuck) {
+  // Guards the drain: the member reads again seconds later, and the request would begin then.
+  VirtualStage stage;
+  play(stage, kStuck);
   play(stage, draining(2, "box-1") + "edge expect log reason=stalled\nwait 20\nanna expect refused 2");
 }
 
@@ -141,17 +144,7 @@
        {draining(2, "up-1"),
         std::string(R"(bulletin send {"no":2,"recall":{"lot":17,"issued":1}})") + "\n"}) {
     VirtualStage stage;
-    play(stage, R"(
-      bulletin expect get last=1
-      bulletin send head
-      anna send 1 pages
-      box-1 expect serve 1
-      box-1 send HIT 1 ver=a b
-      anna expect served 1
-      box-1 close deaf
-      anna send 2 pages
-      box-1 expect serve 2 from=up-1
-    )" + news + "edge expect log reason=stalled");
+    play(stage, kStuck + news + "edge expect log reason=stalled");
   }
 }
 
