--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")"
--- a/review/support.h
+++ b/review/support.h
@@ -78,25 +78,30 @@
 
 inline std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
 
-/// Returns a listening socket on a free port.
-inline int listen_on_free_port(int& port, int receive_buffer = 0) {
+/// Returns a listening socket; port 0 means a free one.
+inline int listen_on(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (receive_buffer > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
-  sockaddr_in address = loopback(0);
-  socklen_t size = sizeof address;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 512) != 0 ||
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = loopback(port);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(fd, 512) != 0) {
     std::perror("listen");
     std::exit(kNotRun);
   }
-  port = ntohs(address.sin_port);
   return fd;
 }
+inline int port_of(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
 
 /// Returns a port that is free now, for a program that binds it itself.
 inline int free_port() {
-  int port = 0;
-  close(listen_on_free_port(port));
+  const int fd = listen_on(0);
+  const int port = port_of(fd);
+  close(fd);
   return port;
 }
 
@@ -282,7 +287,8 @@
 
   PopCache(std::string name, Record& record, Answerer answerer, milliseconds delay = milliseconds(0))
       : name_(std::move(name)), record_(record), answerer_(std::move(answerer)), delay_(delay) {
-    listener_ = listen_on_free_port(port_);
+    listener_ = listen_on(0);
+    port_ = port_of(listener_);
     std::thread([this] { accept_all(); }).detach();
   }
   [[nodiscard]] const std::string& name() const { return name_; }
@@ -361,36 +367,97 @@
 
 // ---- The bulletin ----
 
-/// Accepts connections, answers each with the stream's head, and sends a comment each second.
+/// Tells each connection the events after its `Last-Event-ID`, and a comment each second.
 class Bulletin {
  public:
-  Bulletin() {
-    listener_ = listen_on_free_port(port_);
-    std::thread([this] { accept_all(); }).detach();
-  }
+  /// `last`: the last event that the configuration holds.
+  explicit Bulletin(int last = 1) : last_(last) { open(0); }
   [[nodiscard]] int port() const { return port_; }
 
+  /// Adds an event, given without its number: `"recall":{...}` or `"roster":{...}`.
+  void add(const std::string& event) {
+    const std::lock_guard lock(mutex_);
+    const std::string number = std::to_string(++last_);
+    events_[last_] = "id: " + number + "\ndata: {\"no\":" + number + "," + event + "}\n\n";
+  }
+  /// Closes all connections and refuses new ones.
+  void go_down() {
+    is_down_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    close(listener_);
+    const std::lock_guard lock(mutex_);
+    for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
+  }
+  void come_back() {
+    is_down_ = false;
+    open(port_);
+  }
+  /// From now on everything is written in pieces of that size, with that pause between them.
+  void write_in_pieces(std::size_t size, milliseconds pause) {
+    piece_ = size;
+    pause_ = pause;
+  }
+
  private:
-  void accept_all() const {
+  void open(int port) {
+    listener_ = listen_on(port);
+    port_ = port_of(listener_);
+    std::thread([this, listener = listener_] { accept_all(listener); }).detach();
+  }
+  void accept_all(int listener) {
     while (true) {
-      const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) return;
-      std::thread([fd] { serve(fd); }).detach();
+      {
+        const std::lock_guard lock(mutex_);
+        connections_.insert(fd);
+      }
+      std::thread([this, fd] {
+        serve(fd);
+        const std::lock_guard lock(mutex_);
+        connections_.erase(fd);
+        close(fd);
+      }).detach();
     }
   }
-  static void serve(int fd) {
+  void serve(int fd) {
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     Reader reader(fd);
-    std::string head;
-    if (reader.until("\r\n\r\n", head)) {
-      bool is_open = send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
-      while (is_open) {
-        sleep_for(milliseconds(1000));
-        is_open = send_all(fd, ":\n\n");
+    std::string call;
+    if (!reader.until("\r\n\r\n", call)) return;
+    const std::string name = "Last-Event-ID: ";
+    int told = std::atoi(call.c_str() + call.find(name) + name.size());
+    if (!write(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")) return;
+    for (auto comment_at = Clock::now(); !is_down_; sleep_for(milliseconds(1))) {
+      std::string news;
+      {
+        const std::lock_guard lock(mutex_);
+        for (; told < last_; ++told) news += events_[told + 1];
       }
+      if (Clock::now() >= comment_at) {
+        news += ":\n\n";
+        comment_at += milliseconds(1000);
+      }
+      if (!write(fd, news)) return;
     }
-    close(fd);
+  }
+  [[nodiscard]] bool write(int fd, const std::string& bytes) const {
+    const std::size_t size = piece_ == 0 ? bytes.size() : std::size_t{piece_};
+    for (std::size_t at = 0; at < bytes.size(); at += size) {
+      if (!send_all(fd, bytes.substr(at, size))) return false;
+      if (piece_ > 0) sleep_for(pause_);
+    }
+    return true;
   }
 
+  std::mutex mutex_;
+  int last_;
+  std::map<int, std::string> events_;
+  std::set<int> connections_;
+  std::atomic<bool> is_down_ = false;
+  std::atomic<std::size_t> piece_ = 0;
+  milliseconds pause_{0};
   int listener_ = -1;
   int port_ = 0;
 };
@@ -485,22 +552,28 @@
   std::string sections;  ///< further sections, each followed by a comma
 };
 
-/// A configuration with the settings of the example in the operators' pages, for a school at the hub north.
-inline std::string config_text(const ConfigOptions& options) {
+/// The entries of the list of pop caches.
+inline std::string member_list(const std::vector<Member>& members, int size) {
   std::string list;
-  for (const Member& member : options.members) {
+  for (const Member& member : members) {
     list += std::string(list.empty() ? "" : ",") + R"({"id":")" + member.id + R"(","host_port":")" +
             address_of(member.port) + R"(","locality":")" +
             (member.kind == "small-box" ? "edge-1" : "north") + R"(","flavor":")" + member.kind +
-            R"(","cell":0,"phase":"active","size":5,"up_since_ms":0})";
+            R"(","cell":0,"phase":"active","size":)" + std::to_string(size) + R"(,"up_since_ms":0})";
   }
+  return list;
+}
+
+/// A configuration with the settings of the example in the operators' pages, for a school at the hub north.
+inline std::string config_text(const ConfigOptions& options) {
   std::ostringstream out;
   out << "{" << options.sections << R"("name":")" << options.name << R"(","listen":")"
       << address_of(options.listen) << R"(","admin_addr":")" << address_of(options.admin)
       << R"(","bulletin":")" << address_of(options.bulletin)
       << R"(","seed":"8c1f30d27a5be964","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,)"
       << R"("limits":{"cores":1.0,"memory_mb":)" << options.memory_mb << R"(,"sockets":)" << options.sockets
-      << R"(},"known":{"no":1,"items":[{"no":1,"roster":{"revision":1,"complete":true,"members":[)" << list
+      << R"(},"known":{"no":1,"items":[{"no":1,"roster":{"revision":1,"complete":true,"members":[)"
+      << member_list(options.members, 5)
       << R"(]}}]},"settings":{"az":1,"azs":["north","edge-1"],"kinds":["small-box","parent","origin"],)"
       << R"("bounds":{"attempts_cap":8,"cancelling":true,"conn_idle":30000000,"connect_timeout":400000,)"
       << R"("max_open":20000,"max_retry_after":500000,"multiplex":32,"peers":false,"probes":true,)"
