--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,21 +1,177 @@
 // SPDX-License-Identifier: MIT
-// The bulletin is down for 8 s; objects are purged meanwhile; after its return it writes in pieces.
+// All upper caches of a hub are lost and come back cold; later one of them dies and comes back cold again.
+#include <cmath>
+#include <random>
+
 #include "support.h"
 
 using namespace review;
 
 namespace {
 
-constexpr milliseconds kDown(8000);       // the pages: discovery is down for 8 s
-constexpr milliseconds kToldAfter(7000);  // the pages: counts as told 7 s later at the latest
-constexpr milliseconds kPurgeSlack(300);  // settings.specifics.purge_slack
-constexpr milliseconds kSocketSlack(50);  // the pages: each time limit is 50 ms longer
-constexpr std::size_t kPiece = 200;
-constexpr milliseconds kPieceGap(10);
-constexpr int kObjects = 200;
-constexpr std::size_t kBytes = 4000;
-constexpr int kLimitMs = 5000;
-constexpr milliseconds kEvery(8);  // between the requests
+// A deployment as in the pages: 4 schools with an edge proxy each, 8 cache boxes, 2 upper caches.
+constexpr int kSchools = 4;
+constexpr int kBoxesPerSchool = 2;
+constexpr int kBoxSize = 6;
+constexpr int kParentSize = 14;  // 1.1 times the fills of 3.5 schools at full load
+constexpr double kRate = 33;     // requests a second at each edge proxy: 0.67 of what its boxes can do
+constexpr double kMissShare = 0.3;
+constexpr double kVideoShare = 0.57;
+constexpr double kVideoWork = 0.38;  // mean sending time in seconds
+constexpr double kPagesWork = 0.065;
+constexpr double kKbPerS = 9100;  // settings.specifics.stream_kb_per_s
+constexpr double kSizeSigma = 0.8;
+constexpr int kPopularObjects = 200;
+
+// settings.specifics of parents, and settings.rules.fall.
+constexpr double kFloor = 0.07;
+constexpr double kWarmsIn = 22;
+constexpr double kFallMultiple = 2;
+constexpr double kWindow = 2;
+
+struct Fill {
+  double at = 0;
+  std::string source;
+  double work = 0;  // the mean sending time of its class
+};
+
+/// What an upper cache was asked within one window, in requests of mean work, and what makes it fall.
+struct Load {
+  double age = 0;  // of the upper cache at the end of the window
+  double asked = 0;
+  double allowed = 0;      // N of the pages
+  double falls_above = 0;  // with the pages' slack
+};
+
+/// The load of the window that ends with the fill at `last`. `started`: when the upper cache started. The
+/// capacity is that at the end of the window, which is the highest within it.
+Load load_at(const std::vector<Fill>& fills, std::size_t last, double started) {
+  const double mean_work = kVideoShare * kVideoWork + (1 - kVideoShare) * kPagesWork;
+  const double end = fills[last].at;
+  Load load;
+  load.age = end - started;
+  for (std::size_t i = last + 1; i-- > 0 && fills[i].at > end - kWindow && fills[i].at >= started;) {
+    if (fills[i].source == fills[last].source) load.asked += fills[i].work / mean_work;
+  }
+  const double capacity = kParentSize * (kFloor + (1 - kFloor) * std::min(1.0, load.age / kWarmsIn));
+  load.allowed = kFallMultiple * capacity * kWindow / mean_work;
+  const double root = std::sqrt(load.allowed);
+  load.falls_above = load.allowed + (load.allowed < 30 ? 3 * root + 3 : 2 * root + 2);
+  return load;
+}
+
+/// The upper caches: what was asked of them, and which of them run. One that is asked for too much while it
+/// is cold falls over and stays down.
+class World {
+ public:
+  explicit World(Record& record) : record_(record) {}
+  void start(const std::string& parent) {
+    const std::lock_guard lock(mutex_);
+    running_.insert(parent);
+    kept_[parent].clear();  // it comes back empty
+    started_[parent] = now();
+    record_.line(parent + " starts, cold and empty");
+  }
+  void stop(const std::string& parent) {
+    const std::lock_guard lock(mutex_);
+    running_.erase(parent);
+    record_.line(parent + " dies");
+  }
+  /// Returns the answer of a cache box that lacks the object of the attempt.
+  std::string fill(const Attempt& attempt, const std::string& source) {
+    const std::string& object = attempt.fields.at("thing");
+    const auto mode = attempt.fields.find("mode");
+    const bool cached_only =
+        mode != attempt.fields.end() && mode->second.find("only-if-cached") != std::string::npos;
+    const std::lock_guard lock(mutex_);
+    if (source == "main") return PopCache::hit(attempt.id, object);
+    if (!cached_only && (running_.contains(source) || fallen_.contains(source))) count(attempt, source);
+    if (!running_.contains(source)) return attempt.id + " SHED - 0\r\n\r\n";
+    if (cached_only && !kept_[source].contains(object)) return attempt.id + " NONE - 0\r\n\r\n";
+    kept_[source].insert(object);
+    return PopCache::hit(attempt.id, object);
+  }
+  std::vector<Fill> fills() {
+    const std::lock_guard lock(mutex_);
+    return fills_;
+  }
+  bool has_fallen() {
+    const std::lock_guard lock(mutex_);
+    return !fallen_.empty();
+  }
+
+ private:
+  [[nodiscard]] double now() const { return static_cast<double>(record_.ms()) / 1000; }
+  void count(const Attempt& attempt, const std::string& source) {
+    fills_.push_back({now(), source, attempt.fields.at("profile") == "video" ? kVideoWork : kPagesWork});
+    const auto started = started_.find(source);
+    if (started == started_.end() || now() - started->second > kWarmsIn || fallen_.contains(source)) return;
+    const Load load = load_at(fills_, fills_.size() - 1, started->second);
+    if (load.asked <= load.falls_above) return;
+    fallen_.insert(source);
+    running_.erase(source);
+    record_.line(source + " FALLS OVER and stays down: asked for " + std::to_string(load.asked) +
+                 " requests of mean work within 2 s, N=" + std::to_string(load.allowed) + ", falls above " +
+                 std::to_string(load.falls_above));
+  }
+
+  Record& record_;
+  std::mutex mutex_;
+  std::set<std::string> running_{"up-1", "up-2"};
+  std::set<std::string> fallen_;
+  std::map<std::string, double> started_;
+  std::map<std::string, std::set<std::string>> kept_;
+  std::vector<Fill> fills_;
+};
+
+/// Sends requests at a steady rate and counts the answers by kind.
+void run_clients(int school, int port, const std::atomic<bool>& is_over,
+                 std::map<std::string, int>& answers) {
+  const int fd = connect_to(port);
+  if (fd < 0) return;
+  std::thread reading([fd, &answers] {
+    Reader reader(fd);
+    Answer answer;
+    while (read_answer(reader, answer)) ++answers[answer.kind];
+  });
+  std::mt19937_64 random(static_cast<std::uint64_t>(school));
+  std::uniform_real_distribution<double> share(0, 1);
+  std::lognormal_distribution<double> size(-kSizeSigma * kSizeSigma / 2, kSizeSigma);
+  std::uint64_t number = static_cast<std::uint64_t>(school) << 32U;
+  auto next = Clock::now();
+  for (int seqid = 1; !is_over; ++seqid) {
+    ++number;
+    const bool is_video = share(random) < kVideoShare;
+    const std::uint64_t object = share(random) < kMissShare ? number : random() % kPopularObjects;
+    Fields fields = request_fields(number, is_video ? "video" : "pages", is_video ? 5000 : 2500, object);
+    fields["ram"] = std::to_string((is_video ? kVideoWork : kPagesWork) * kKbPerS * size(random));
+    if (!send_all(fd, process_frame(seqid, fields))) break;
+    next += std::chrono::microseconds(static_cast<long>(1e6 / kRate));
+    std::this_thread::sleep_until(next);
+  }
+  sleep_for(milliseconds(500));
+  shutdown(fd, SHUT_RDWR);
+  reading.join();
+  close(fd);
+}
+
+/// Records the highest load of the upper cache after its start, as a part of what makes it fall.
+void record_highest_load(const std::vector<Fill>& fills, const std::string& parent, double started,
+                         Record& record) {
+  Load highest;
+  double part = 0;
+  for (std::size_t i = 0; i < fills.size(); ++i) {
+    if (fills[i].source != parent || fills[i].at < started || fills[i].at > started + kWarmsIn) continue;
+    const Load load = load_at(fills, i, started);
+    if (load.asked / load.falls_above <= part) continue;
+    part = load.asked / load.falls_above;
+    highest = load;
+  }
+  record.line("highest load of " + parent + " after its start at " + std::to_string(started) +
+              " s: " + std::to_string(highest.asked) + " requests of mean work within 2 s, at an age of " +
+              std::to_string(highest.age) + " s; N=" + std::to_string(highest.allowed) + ", falls above " +
+              std::to_string(highest.falls_above));
+}
 
 }  // namespace
 
@@ -23,126 +179,126 @@
   const Environment environment = review::environment(argc, argv);
   Record record(environment.record);
   Bulletin bulletin;
-  // The pop caches hold the first version of every object until the purge, and drop it at that moment.
-  const long long first_born = unix_ms();
-  std::atomic<long long> purged_at = 0;
+  World world(record);
+  std::set<std::string> popular;
+  for (std::uint64_t object = 0; object < kPopularObjects; ++object)
+    popular.insert(request_fields(0, "", 0, object).at("item"));
   const auto answer = [&](const Attempt& attempt) {
-    const long long purged = purged_at;
-    const std::string version = purged == 0 ? "old" : "new";
-    const std::string bytes = part_bytes(attempt.fields.at("thing"), version, kBytes);
-    return attempt.id + " HIT ver=" + hex16(std::hash<std::string>()(bytes)) +
-           ",born=" + std::to_string(purged == 0 ? first_born : purged) + " " + std::to_string(bytes.size()) +
-           "\r\n" + bytes + "\r\n";
+    if (popular.contains(attempt.fields.at("thing")))
+      return PopCache::hit(attempt.id, attempt.fields.at("thing"));
+    const auto source = attempt.fields.find("from");
+    if (source == attempt.fields.end()) return attempt.id + " NONE - 0\r\n\r\n";
+    return world.fill(attempt, source->second);
   };
   std::vector<std::unique_ptr<PopCache>> caches;
-  ConfigOptions options;
-  options.listen = free_port();
-  options.admin = free_port();
-  options.bulletin = bulletin.port();
-  std::vector<Member> boxes;
-  for (const char* name :
-       {"box-1", "box-2", "box-3", "box-4", "box-5", "box-6", "box-7", "box-8", "up-1", "up-2", "main"}) {
-    caches.push_back(std::make_unique<PopCache>(name, record, answer, milliseconds(5)));
-    const std::string kind = name[0] == 'b' ? "small-box" : name[0] == 'u' ? "parent" : "origin";
-    options.members.push_back({name, caches.back()->port(), kind});
-    if (name[0] == 'b') boxes.push_back(options.members.back());
-  }
-  const std::string config = environment.folder + "/config.json";
-  write_file(config, config_text(options));
-  const std::string state = environment.folder + "/state";
-  if (mkdir(state.c_str(), 0700) != 0) return kNotRun;
-  EdgeProxy edge(environment.root, config, state, environment.folder + "/log");
-  edge.start();
-  if (!wait_ready(options.listen)) return kNotRun;
-  record.line("ready");
-
-  int fd = connect_to(options.listen);
-  if (fd < 0) return kNotRun;
-  auto reader = std::make_unique<Reader>(fd);
-  int seqid = 0;
-  std::uint64_t number = 0;
-  int stale = 0;
-  int answered = 0;
-  int local_before = 0;
-  // Sends one request, waits for its answer and checks it.
-  const auto request = [&](int object) {
-    const Fields fields = request_fields(++number, "video", kLimitMs, static_cast<std::uint64_t>(object));
-    const long long sent_at = unix_ms();
-    Answer answer;
-    if (!send_all(fd, process_frame(++seqid, fields)) || !read_answer(*reader, answer)) return false;
-    ++answered;
-    if (answer.kind != "served") {
-      record.line(fields.at("txn") + " " + answer.kind);
-      return true;
+  std::vector<Member> members;
+  for (int box = 0; box < kSchools * kBoxesPerSchool; ++box) {
+    const std::string name = "box-" + std::to_string(box + 1);
+    caches.push_back(std::make_unique<PopCache>(name, record, answer, milliseconds(60)));
+    members.push_back({name, caches.back()->port(), "small-box",
+                       "edge-" + std::to_string(box / kBoxesPerSchool + 1), kBoxSize});
+  }
+  for (const std::string name : {"up-1", "up-2", "main"}) {
+    caches.push_back(std::make_unique<PopCache>(name, record, answer));
+    members.push_back({name, caches.back()->port(), name == "main" ? "origin" : "parent", "", kParentSize});
+  }
+  const auto tell = [&](const std::string& id, const std::string& phase, long long up_since_ms) {
+    for (Member member : members) {
+      if (member.id != id) continue;
+      member.phase = phase;
+      member.up_since_ms = up_since_ms;
+      bulletin.add(R"("roster":{"revision":2,"complete":false,"members":[)" + member_list({member}) + "]}");
+      record.line("the bulletin tells: " + id + " " + phase);
     }
-    const bool is_old = answer.body == part_bytes(fields.at("item"), "old", kBytes);
-    const long long purged = purged_at;
-    const long long told_by = purged + (kToldAfter + kPurgeSlack + kSocketSlack).count();
-    const bool is_stale = is_old && purged != 0 && sent_at > told_by;
-    stale += is_stale ? 1 : 0;
-    record.line(fields.at("txn") + " item=" + fields.at("item") + " served " + (is_old ? "old" : "new") +
-                (is_stale ? " STALE: sent " + std::to_string(sent_at - purged) + " ms after the purge" : ""));
-    return true;
   };
 
-  // Each object is asked for three times; from then on the edge proxy has a copy of its own.
-  for (int round = 0; round < 3; ++round) {
-    for (int object = 1; object <= kObjects; ++object) {
-      if (!request(object)) return kNotRun;
-      sleep_for(milliseconds(4));
-    }
+  std::vector<std::unique_ptr<EdgeProxy>> edges;
+  std::vector<ConfigOptions> options(kSchools);
+  for (int school = 1; school <= kSchools; ++school) {
+    ConfigOptions& own = options[static_cast<std::size_t>(school - 1)];
+    own.name = "n" + std::to_string(school);
+    own.listen = free_port();
+    own.admin = free_port();
+    own.bulletin = bulletin.port();
+    own.members = members;
+    own.school = school;
+    own.schools = kSchools;
+    const std::string folder = environment.folder + "/" + own.name;
+    if (mkdir(folder.c_str(), 0700) != 0) return kNotRun;
+    write_file(folder + ".json", config_text(own));
+    edges.push_back(std::make_unique<EdgeProxy>(environment.root, folder + ".json", folder, folder + ".log"));
+    edges.back()->start();
   }
-  const auto attempts = [&] {
-    int sum = 0;
-    for (const auto& cache : caches) sum += cache->attempts();
-    return sum;
-  };
-  const int before = attempts();
-  for (int object = 1; object <= 10; ++object) {
-    if (!request(object)) return kNotRun;
+  for (const ConfigOptions& own : options) {
+    if (!wait_ready(own.listen)) return kNotRun;
   }
-  local_before = 10 - (attempts() - before);
-  record.line("of 10 requests the edge proxy serves " + std::to_string(local_before) +
-              " from its own copies");
+  record.line("four edge proxies are ready");
 
-  close(fd);
-  if (environment.has_trouble) {
-    bulletin.go_down();
-    bulletin.write_in_pieces(kPiece, kPieceGap);
-    record.line("the bulletin is down");
-  }
-  const auto down_at = Clock::now();
-  sleep_for(milliseconds(200));
-  bulletin.add(R"("roster":{"revision":2,"complete":false,"members":[)" + member_list(boxes, 6) + "]}");
-  sleep_for(milliseconds(300));
-  purged_at = unix_ms();
-  bulletin.add(R"("recall":{"lot":17,"issued":)" + std::to_string(purged_at) + "}");
-  record.line("purge of lot 17");
-  std::this_thread::sleep_until(down_at + kDown);
+  std::atomic<bool> is_over = false;
+  std::vector<std::map<std::string, int>> answers(kSchools);
+  std::vector<std::thread> clients;
+  for (int school = 1; school <= kSchools; ++school) {
+    const auto i = static_cast<std::size_t>(school - 1);
+    clients.emplace_back(run_clients, school, options[i].listen, std::cref(is_over), std::ref(answers[i]));
+  }
+  const auto began = Clock::now();
+  const auto at = [&](int ms) { std::this_thread::sleep_until(began + milliseconds(ms)); };
+  std::map<std::string, std::vector<double>> starts;
+  const auto start = [&](const std::string& parent) {
+    starts[parent].push_back(static_cast<double>(record.ms()) / 1000);
+    world.start(parent);
+    tell(parent, "active", unix_ms());
+  };
   if (environment.has_trouble) {
-    bulletin.come_back();
-    record.line("the bulletin is back, in pieces of " + std::to_string(kPiece) + " bytes, one each " +
-                std::to_string(kPieceGap.count()) + " ms");
-  }
-  // A new client asks for the objects; the first one has closed its idle connection.
-  fd = connect_to(options.listen);
-  if (fd < 0) return kNotRun;
-  reader = std::make_unique<Reader>(fd);
-  seqid = 0;
-  for (int object = 1; record.ms() < 60'000 && Clock::now() < down_at + kDown + milliseconds(2500);
-       ++object) {
-    if (!request((object - 1) % kObjects + 1)) return kNotRun;
-    sleep_for(kEvery);
+    // All upper caches of the hub are lost for 12 s; they come back cold, one 1.5 s after the other.
+    at(3000);
+    world.stop("up-1");
+    world.stop("up-2");
+    at(4000);
+    tell("up-1", "left", 0);
+    at(4500);
+    tell("up-2", "left", 0);
+    at(15000);
+    start("up-1");
+    at(16500);
+    start("up-2");
+    // Both are warm when one of them dies; it comes back cold after 7 s.
+    at(41000);
+    world.stop("up-1");
+    at(42000);
+    tell("up-1", "left", 0);
+    at(48000);
+    start("up-1");
   }
-  close(fd);
-  const bool is_running = edge.is_running();
-  record.line("answered=" + std::to_string(answered) + " stale=" + std::to_string(stale));
-  std::istringstream log(edge.log());
-  for (std::string line; std::getline(log, line);) {
-    if (line.find("kind=bulletin") != std::string::npos || line.find(" list ") != std::string::npos)
-      record.line("log: " + line);
-  }
-  edge.kill_now();
-  if (local_before == 0) return kNotRun;
-  return is_running && stale == 0 ? kHeld : kBroken;
+  at(54000);
+  is_over = true;
+  for (std::thread& client : clients) client.join();
+
+  const std::vector<Fill> fills = world.fills();
+  for (const char* parent : {"up-1", "up-2"}) {
+    std::string line;
+    for (int second = 0; second < 54; second += 2) {
+      const double from = static_cast<double>(second) + (fills.empty() ? 0 : fills.front().at);
+      int count = 0;
+      for (const Fill& fill : fills)
+        count += fill.source == parent && fill.at >= from && fill.at < from + 2 ? 1 : 0;
+      line += " " + std::to_string(count);
+    }
+    record.line(std::string(parent) + " fills in each 2 s:" + line);
+  }
+  int served = 0;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    std::string line;
+    for (const auto& [kind, count] : answers[i]) line += " " + kind + "=" + std::to_string(count);
+    served += answers[i]["served"];
+    record.line(options[i].name + line);
+  }
+  for (const auto& [parent, times] : starts) {
+    for (const double started : times) record_highest_load(fills, parent, started, record);
+  }
+  bool are_running = true;
+  for (const auto& edge : edges) are_running = are_running && edge->is_running();
+  for (const auto& edge : edges) edge->kill_now();
+  if (!are_running || served == 0) return kNotRun;
+  return world.has_fallen() ? kBroken : kHeld;
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p .build
-for source in [1-9]/case.cpp; do
+for source in [1-3]/case.cpp; do
   number=${source%/case.cpp}
   ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -I. "$source" -o ".build/case$number" -pthread &
   pids="${pids:-} $!"
--- a/review/support.h
+++ b/review/support.h
@@ -371,7 +371,11 @@
 class Bulletin {
  public:
   /// `last`: the last event that the configuration holds.
-  explicit Bulletin(int last = 1) : last_(last) { open(0); }
+  explicit Bulletin(int last = 1) : last_(last) {
+    listener_ = listen_on(0);
+    port_ = port_of(listener_);
+    std::thread([this] { accept_all(); }).detach();
+  }
   [[nodiscard]] int port() const { return port_; }
 
   /// Adds an event, given without its number: `"recall":{...}` or `"roster":{...}`.
@@ -380,42 +384,14 @@
     const std::string number = std::to_string(++last_);
     events_[last_] = "id: " + number + "\ndata: {\"no\":" + number + "," + event + "}\n\n";
   }
-  /// Closes all connections and refuses new ones.
-  void go_down() {
-    is_down_ = true;
-    shutdown(listener_, SHUT_RDWR);
-    close(listener_);
-    const std::lock_guard lock(mutex_);
-    for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
-  }
-  void come_back() {
-    is_down_ = false;
-    open(port_);
-  }
-  /// From now on everything is written in pieces of that size, with that pause between them.
-  void write_in_pieces(std::size_t size, milliseconds pause) {
-    piece_ = size;
-    pause_ = pause;
-  }
 
  private:
-  void open(int port) {
-    listener_ = listen_on(port);
-    port_ = port_of(listener_);
-    std::thread([this, listener = listener_] { accept_all(listener); }).detach();
-  }
-  void accept_all(int listener) {
+  void accept_all() {
     while (true) {
-      const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+      const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) return;
-      {
-        const std::lock_guard lock(mutex_);
-        connections_.insert(fd);
-      }
       std::thread([this, fd] {
         serve(fd);
-        const std::lock_guard lock(mutex_);
-        connections_.erase(fd);
         close(fd);
       }).detach();
     }
@@ -428,8 +404,8 @@
     if (!reader.until("\r\n\r\n", call)) return;
     const std::string name = "Last-Event-ID: ";
     int told = std::atoi(call.c_str() + call.find(name) + name.size());
-    if (!write(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")) return;
-    for (auto comment_at = Clock::now(); !is_down_; sleep_for(milliseconds(1))) {
+    if (!send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")) return;
+    for (auto comment_at = Clock::now();; sleep_for(milliseconds(1))) {
       std::string news;
       {
         const std::lock_guard lock(mutex_);
@@ -439,25 +415,13 @@
         news += ":\n\n";
         comment_at += milliseconds(1000);
       }
-      if (!write(fd, news)) return;
+      if (!send_all(fd, news)) return;
     }
   }
-  [[nodiscard]] bool write(int fd, const std::string& bytes) const {
-    const std::size_t size = piece_ == 0 ? bytes.size() : std::size_t{piece_};
-    for (std::size_t at = 0; at < bytes.size(); at += size) {
-      if (!send_all(fd, bytes.substr(at, size))) return false;
-      if (piece_ > 0) sleep_for(pause_);
-    }
-    return true;
-  }
 
   std::mutex mutex_;
   int last_;
   std::map<int, std::string> events_;
-  std::set<int> connections_;
-  std::atomic<bool> is_down_ = false;
-  std::atomic<std::size_t> piece_ = 0;
-  milliseconds pause_{0};
   int listener_ = -1;
   int port_ = 0;
 };
@@ -538,7 +502,11 @@
 struct Member {
   std::string id;
   int port = 0;
-  std::string kind;  ///< small-box, parent or origin
+  std::string kind;               ///< small-box, parent or origin
+  std::string school = "edge-1";  ///< of a box; parents and the origin are at the hub
+  int size = 5;
+  std::string phase = "active";
+  long long up_since_ms = 0;
 };
 
 struct ConfigOptions {
@@ -549,23 +517,36 @@
   int memory_mb = 192;
   int sockets = 1024;
   std::vector<Member> members;
+  int school = 1;        ///< place of the edge proxy's school
+  int schools = 1;       ///< `edge-1` to `edge-N`, with one edge proxy each
   std::string sections;  ///< further sections, each followed by a comma
 };
 
 /// The entries of the list of pop caches.
-inline std::string member_list(const std::vector<Member>& members, int size) {
+inline std::string member_list(const std::vector<Member>& members) {
   std::string list;
   for (const Member& member : members) {
     list += std::string(list.empty() ? "" : ",") + R"({"id":")" + member.id + R"(","host_port":")" +
             address_of(member.port) + R"(","locality":")" +
-            (member.kind == "small-box" ? "edge-1" : "north") + R"(","flavor":")" + member.kind +
-            R"(","cell":0,"phase":"active","size":)" + std::to_string(size) + R"(,"up_since_ms":0})";
+            (member.kind == "small-box" ? member.school : "north") + R"(","flavor":")" + member.kind +
+            R"(","cell":0,"phase":")" + member.phase + R"(","size":)" + std::to_string(member.size) +
+            R"(,"up_since_ms":)" + std::to_string(member.up_since_ms) + "}";
   }
   return list;
 }
 
 /// A configuration with the settings of the example in the operators' pages, for a school at the hub north.
 inline std::string config_text(const ConfigOptions& options) {
+  std::string zones = R"("north")";
+  std::string hubs = "0";
+  std::string links = "0";
+  std::string seats = "0";
+  for (int school = 1; school <= options.schools; ++school) {
+    zones += R"(,"edge-)" + std::to_string(school) + "\"";
+    hubs += ",0";
+    links += ",119279";
+    seats += ",1";
+  }
   std::ostringstream out;
   out << "{" << options.sections << R"("name":")" << options.name << R"(","listen":")"
       << address_of(options.listen) << R"(","admin_addr":")" << address_of(options.admin)
@@ -573,12 +554,13 @@
       << R"(","seed":"8c1f30d27a5be964","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,)"
       << R"("limits":{"cores":1.0,"memory_mb":)" << options.memory_mb << R"(,"sockets":)" << options.sockets
       << R"(},"known":{"no":1,"items":[{"no":1,"roster":{"revision":1,"complete":true,"members":[)"
-      << member_list(options.members, 5)
-      << R"(]}}]},"settings":{"az":1,"azs":["north","edge-1"],"kinds":["small-box","parent","origin"],)"
+      << member_list(options.members) << R"(]}}]},"settings":{"az":)" << options.school << R"(,"azs":[)"
+      << zones << R"(],"kinds":["small-box","parent","origin"],)"
       << R"("bounds":{"attempts_cap":8,"cancelling":true,"conn_idle":30000000,"connect_timeout":400000,)"
       << R"("max_open":20000,"max_retry_after":500000,"multiplex":32,"peers":false,"probes":true,)"
       << R"("retry_after":true,"second_copies":false},"clients":{"marks_retry":true},"discovery":"pushed",)"
-      << R"("fleet_size":1,"me":0,"report":{"fields":["rif","x1","x0"],"via":"probe"},"request_classes":[)"
+      << R"("fleet_size":)" << options.schools << R"(,"me":)" << options.school - 1
+      << R"(,"report":{"fields":["rif","x1","x0"],"via":"probe"},"request_classes":[)"
       << R"({"name":"video","aim":400000,"aim_stretch":2.0,"deadline":5000000,"effect":"retryable",)"
       << R"("group":"all","late_worth":0.15,"memory_span":5000000,"worth":2.0},)"
       << R"({"name":"pages","aim":250000,"aim_stretch":2.0,"deadline":2500000,"effect":"retryable",)"
@@ -587,10 +569,11 @@
       << R"("late_worth":0.0,"memory_span":2000000,"worth":3.0}],"rules":{"answer_slack":8000,)"
       << R"("cold_share":0.18,"drain_grace":1000000,"fall":2000000,"fall_multiple":4.0,)"
       << R"("must_ask_in":10000000,"warm_after":18000000},"specifics":{"byte_fee":0.02,"can_join":true,)"
-      << R"("cleared_within":6000000,"grace_for":[0,20000000,0],"hub_by_zone":[0,0],)"
-      << R"("inlet_kb_per_s":[0,119279],"max_age":[0,8000000,0],"never_kept":[false,false,true],)"
+      << R"("cleared_within":6000000,"grace_for":[0,20000000,0],"hub_by_zone":[)" << hubs << R"(],)"
+      << R"("inlet_kb_per_s":[)" << links << R"(],"max_age":[0,8000000,0],"never_kept":[false,false,true],)"
       << R"("origin_kind":2,"parent_floor":0.07,"parent_warms_in":22000000,"peers_fill":"location",)"
-      << R"("purge_slack":300000,"says":"none","seats_by_zone":[0,1],"segmented":[true,false,false],)"
+      << R"("purge_slack":300000,"says":"none","seats_by_zone":[)" << seats
+      << R"(],"segmented":[true,false,false],)"
       << R"("stale_earns":[0.7,0.5,0.7],"straight":false,"stream_kb_per_s":9100.0,)"
       << R"("upper_fall_multiple":2.0,"upper_kind":1},"tick":2000,"weights":"nominal"}})";
   return out.str();
