--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -125,14 +125,18 @@
 };
 
 /// Sends requests at a steady rate and counts the answers by kind.
-void run_clients(int school, int port, const std::atomic<bool>& is_over,
-                 std::map<std::string, int>& answers) {
+void run_clients(int school, int port, const std::atomic<bool>& is_over, std::map<std::string, int>& answers,
+                 Record& record) {
   const int fd = connect_to(port);
   if (fd < 0) return;
-  std::thread reading([fd, &answers] {
+  const std::string name = "client of n" + std::to_string(school) + " seqid ";
+  std::thread reading([fd, &answers, &record, &name] {
     Reader reader(fd);
     Answer answer;
-    while (read_answer(reader, answer)) ++answers[answer.kind];
+    while (read_answer(reader, answer)) {
+      ++answers[answer.kind];
+      record.line(name + std::to_string(answer.seqid) + " " + answer.kind);
+    }
   });
   std::mt19937_64 random(static_cast<std::uint64_t>(school));
   std::uniform_real_distribution<double> share(0, 1);
@@ -145,6 +149,8 @@
     const std::uint64_t object = share(random) < kMissShare ? number : random() % kPopularObjects;
     Fields fields = request_fields(number, is_video ? "video" : "pages", is_video ? 5000 : 2500, object);
     fields["ram"] = std::to_string((is_video ? kVideoWork : kPagesWork) * kKbPerS * size(random));
+    record.line(name + std::to_string(seqid) + " sent " + fields["txn"] + " " + fields["verb"] +
+                " item=" + fields["item"]);
     if (!send_all(fd, process_frame(seqid, fields))) break;
     next += std::chrono::microseconds(static_cast<long>(1e6 / kRate));
     std::this_thread::sleep_until(next);
@@ -239,7 +245,8 @@
   std::vector<std::thread> clients;
   for (int school = 1; school <= kSchools; ++school) {
     const auto i = static_cast<std::size_t>(school - 1);
-    clients.emplace_back(run_clients, school, options[i].listen, std::cref(is_over), std::ref(answers[i]));
+    clients.emplace_back(run_clients, school, options[i].listen, std::cref(is_over), std::ref(answers[i]),
+                         std::ref(record));
   }
   const auto began = Clock::now();
   const auto at = [&](int ms) { std::this_thread::sleep_until(began + milliseconds(ms)); };
