Review case 2: unfinished messages of bad clients bring the process over its memory

Cause: limits are derived from the memory for bodies, unread answers and own copies, none for incomplete messages; 300 connections with 64 kB each take 43 MB where 32 MB are allowed.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,89 +1,95 @@
 // SPDX-License-Identifier: MIT
-// Clients with 32 open requests on a connection read their answers at 1 MB a second.
+// Bad clients send messages that never end, on 300 connections at a time.
 #include "support.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kMemoryMb = 64;               // the pages: 32 to 192 MB
-constexpr int kClients = 4;                 // 128 requests in a second; the pages: up to 170
-constexpr milliseconds kStagger(250);       // between the clients
-constexpr int kRequests = 32;               // the pages: one connection carries up to 32 open requests
-constexpr std::size_t kBytes = 240'000;     // the pages: an object may hold up to 240,000 bytes
-constexpr std::size_t kStepBytes = 25'000;  // the pages: some clients read at most 1 MB a second
-constexpr std::size_t kFastStepBytes = 4'000'000;
-constexpr milliseconds kStep(25);
-constexpr int kReceiveBuffer = 64 * 1024;
-constexpr int kLimitMs = 5000;  // of the class video
-constexpr milliseconds kBound(60'000);
+constexpr int kMemoryMb = 32;   // the pages: 32 to 192 MB
+constexpr int kSockets = 1024;  // the pages: 256 to 1,024 descriptors
+// The pages: clients hold a third of the descriptors at most, 341 here.
+constexpr int kUsualClients = 40;
+constexpr int kBadClients = 300;
+constexpr milliseconds kPause(333);          // of a usual client: 120 requests a second in all
+constexpr milliseconds kServiceTime(50);     // of a pop cache
+constexpr std::size_t kPartBytes = 120'000;  // the pages: an object may hold up to 240,000 bytes
+constexpr std::size_t kWriteBytes = 20'000;  // the pages: a write carries up to 48,000
+constexpr std::uint64_t kObjects = 200;
+constexpr std::uint32_t kAnnouncedBytes = 65'536;  // by a bad client; it sends all but the last byte
+constexpr milliseconds kBadStart(4000);
+constexpr milliseconds kBadStagger(3);
+constexpr milliseconds kBadFor(12'000);
+constexpr milliseconds kSample(20);
 
-struct Result {
-  int answered = 0;
-  int lost = 0;
-  bool is_wrong = false;
+struct Counts {
+  std::atomic<int> sent = 0;
+  std::atomic<int> answered = 0;
+  std::atomic<int> lost = 0;
+  std::atomic<int> wrong = 0;
+  std::atomic<int> unreachable = 0;
+  std::atomic<int> bad_connections = 0;
+  std::atomic<int> bad_ended = 0;   ///< by the edge proxy
+  std::atomic<int> bad_served = 0;  ///< connections on which anything was sent to the bad client
 };
 
-/// Sends all requests at once, then reads at a fixed rate until all is answered or the connection ends.
-Result run_client(int number, int port, bool is_slow, Record& record) {
-  const std::string name = "client " + std::to_string(number);
-  Result result;
-  const int fd = connect_to(port, kReceiveBuffer);
-  std::string requests;
-  for (int seqid = 1; seqid <= kRequests; ++seqid) {
-    const auto id = static_cast<std::uint64_t>(number * 100 + seqid);
-    requests += process_frame(seqid, request_fields(id, "video", kLimitMs, static_cast<std::uint64_t>(number),
-                                                    std::to_string(seqid)));
+/// Sends one request at a time, each tenth one a write, until the test is over.
+void run_usual_client(int number, int port, const std::atomic<bool>& is_over, Counts& counts,
+                      Record& record) {
+  sleep_for(kPause * number / kUsualClients);
+  const int fd = connect_to(port);
+  if (fd < 0) {
+    ++counts.unreachable;
+    return;
   }
-  if (fd < 0 || !send_all(fd, requests)) {
-    record.line(name + " could not connect");
-    return result;
-  }
-  record.line(name + " has sent 32 requests, limit=" + std::to_string(kLimitMs));
-
-  const std::string object = request_fields(0, "video", 0, static_cast<std::uint64_t>(number)).at("item");
-  std::string received;
-  std::set<int> answered;
-  std::size_t total = 0;
-  bool is_open = true;
-  const auto until = Clock::now() + kBound;
-  for (auto next = Clock::now(); is_open && answered.size() < kRequests && next < until;) {
-    std::size_t budget = is_slow ? kStepBytes : kFastStepBytes;
-    while (budget > 0) {
-      char bytes[65536];
-      const ssize_t size = recv(fd, bytes, std::min(budget, sizeof bytes), MSG_DONTWAIT);
-      if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
-      if (size <= 0) {
-        record.line(name + (size == 0 ? ": the edge proxy closed the connection" : ": connection reset"));
-        is_open = false;
-        break;
-      }
-      received.append(bytes, static_cast<std::size_t>(size));
-      total += static_cast<std::size_t>(size);
-      budget -= static_cast<std::size_t>(size);
-    }
-    while (received.size() >= 4 && received.size() >= 4 + read_u32(received, 0)) {
-      const std::size_t length = read_u32(received, 0);
-      const Answer answer = parse_answer(received.substr(4, length));
-      received.erase(0, 4 + length);
-      record.line(name + " request " + std::to_string(answer.seqid) + ": " + answer.kind +
-                  " bytes=" + std::to_string(answer.body.size()));
-      const std::string whole = part_bytes(object, std::to_string(answer.seqid), kBytes);
-      const bool is_first = answered.insert(answer.seqid).second;
-      if (!is_first || (answer.kind == "served" && answer.body != whole)) result.is_wrong = true;
+  Reader reader(fd);
+  for (int seqid = 1; !is_over; ++seqid) {
+    const auto next = Clock::now() + kPause;
+    const std::uint64_t id = static_cast<std::uint64_t>(number) * 1000 + static_cast<std::uint64_t>(seqid);
+    const bool is_write = id % 10 == 0;
+    Fields fields = request_fields(id, is_write ? "order" : "pages", 2500, id * 7 % kObjects);
+    if (is_write) fields["unique"] = hex16(id) + hex16(id);
+    const std::string name = "client " + std::to_string(number) + " request " + fields.at("txn");
+    if (!send_all(fd, process_frame(seqid, fields, is_write ? std::string(kWriteBytes, 'w') : ""))) break;
+    ++counts.sent;
+    record.line(name + " sent");
+    Answer answer;
+    if (!read_answer(reader, answer) || answer.seqid != seqid) {
+      ++counts.lost;
+      record.line(name + " lost: its connection ended without an answer");
+      break;
     }
-    next += kStep;
+    ++counts.answered;
+    record.line(name + " " + answer.kind);
+    const std::string whole = part_bytes(fields.at("item"), "0", kPartBytes);
+    if (answer.kind == "served" && !is_write && answer.body != whole) ++counts.wrong;
     std::this_thread::sleep_until(next);
   }
   close(fd);
-  for (int seqid = 1; seqid <= kRequests; ++seqid) {
-    if (!answered.contains(seqid)) record.line(name + " request " + std::to_string(seqid) + ": lost");
+}
+
+/// Sends a message without its last byte at full speed and reads until the edge proxy ends the connection;
+/// then does the same again.
+void run_bad_client(int number, int port, const std::atomic<bool>& is_over, Counts& counts, Record& record) {
+  const std::string message = u32(kAnnouncedBytes) + std::string(kAnnouncedBytes - 1, 'x');
+  while (!is_over) {
+    const int fd = connect_to(port);
+    if (fd < 0) return;
+    ++counts.bad_connections;
+    const auto connected_at = Clock::now();
+    send_all(fd, message);
+    std::size_t received = 0;
+    char bytes[4096];
+    for (ssize_t size = 0; (size = recv(fd, bytes, sizeof bytes, 0)) > 0;) {
+      received += static_cast<std::size_t>(size);
+    }
+    ++counts.bad_ended;
+    if (received > 0) ++counts.bad_served;
+    const auto held = std::chrono::duration_cast<milliseconds>(Clock::now() - connected_at).count();
+    record.line("bad client " + std::to_string(number) + " connection ended after " + std::to_string(held) +
+                " ms, read " + std::to_string(received) + " bytes");
+    close(fd);
   }
-  result.answered = static_cast<int>(answered.size());
-  result.lost = kRequests - result.answered;
-  record.line(name + " read " + std::to_string(total) +
-              " bytes, answered=" + std::to_string(result.answered) + " lost=" + std::to_string(result.lost));
-  return result;
 }
 
 }  // namespace
@@ -94,7 +100,7 @@
   Bulletin bulletin;
   const auto answer = [](const Attempt& attempt) {
     return PopCache::hit(attempt.id,
-                         part_bytes(attempt.fields.at("thing"), attempt.fields.at("nth"), kBytes));
+                         part_bytes(attempt.fields.at("thing"), attempt.fields.at("nth"), kPartBytes));
   };
   std::vector<std::unique_ptr<PopCache>> caches;
   ConfigOptions options;
@@ -102,8 +108,9 @@
   options.admin = free_port();
   options.bulletin = bulletin.port();
   options.memory_mb = kMemoryMb;
+  options.sockets = kSockets;
   for (const char* name : {"box-1", "box-2", "box-3", "up-1", "main"}) {
-    caches.push_back(std::make_unique<PopCache>(name, record, answer, milliseconds(50)));
+    caches.push_back(std::make_unique<PopCache>(name, record, answer, kServiceTime));
     const std::string kind = name[0] == 'b' ? "small-box" : name[0] == 'u' ? "parent" : "origin";
     options.members.push_back({name, caches.back()->port(), kind});
   }
@@ -114,41 +121,69 @@
   EdgeProxy edge(environment.root, config, state, environment.folder + "/log");
   edge.start();
   if (!wait_ready(options.listen)) return kNotRun;
-  record.line("ready; limits.memory_mb=" + std::to_string(kMemoryMb));
+  record.line("ready; limits.memory_mb=" + std::to_string(kMemoryMb) +
+              " limits.sockets=" + std::to_string(kSockets));
 
-  std::vector<Result> results(kClients);
+  Counts counts;
+  std::atomic<bool> is_over = false;
   std::vector<std::thread> clients;
-  for (int number = 0; number < kClients; ++number) {
-    clients.emplace_back([&, number] {
-      results[static_cast<std::size_t>(number)] =
-          run_client(number + 1, options.listen, environment.has_trouble, record);
-    });
-    sleep_for(kStagger);
+  for (int number = 1; number <= kUsualClients; ++number) {
+    clients.emplace_back(run_usual_client, number, options.listen, std::cref(is_over), std::ref(counts),
+                         std::ref(record));
   }
-  std::atomic<bool> is_over = false;
-  long peak_kb = 0;
-  std::thread platform([&] {
-    for (; !is_over; sleep_for(milliseconds(20))) peak_kb = std::max(peak_kb, edge.resident_kb());
+  std::vector<std::thread> bad_clients;
+  std::thread bad_clients_start([&] {
+    sleep_for(kBadStart);
+    if (!environment.has_trouble) return;
+    record.line("bad clients begin");
+    for (int number = 1; number <= kBadClients; ++number, sleep_for(kBadStagger)) {
+      bad_clients.emplace_back(run_bad_client, number, options.listen, std::cref(is_over), std::ref(counts),
+                               std::ref(record));
+    }
   });
-  for (std::thread& client : clients) client.join();
-  is_over = true;
-  platform.join();
 
-  Result sum;
-  for (const Result& result : results) {
-    sum.answered += result.answered;
-    sum.lost += result.lost;
-    sum.is_wrong = sum.is_wrong || result.is_wrong;
-  }
-  const bool is_running = edge.is_running();
-  record.line("answered=" + std::to_string(sum.answered) + " lost=" + std::to_string(sum.lost) +
-              " highest resident memory=" + std::to_string(peak_kb) + " kB of " +
-              std::to_string(kMemoryMb * 1024));
-  std::istringstream log(edge.log());
-  for (std::string line; std::getline(log, line);) {
-    if (line.find("kind=front") != std::string::npos) record.line("log: " + line);
+  // The platform kills the process over its limit. What other processes may share, the pages of the program
+  // and of its libraries, is left out.
+  long peak_kb = 0;
+  long resident_at_peak_kb = 0;
+  bool was_killed = false;
+  bool is_running = true;
+  long long next_line_at = 0;
+  for (const auto until = Clock::now() + kBadStart + kBadFor; Clock::now() < until; sleep_for(kSample)) {
+    is_running = edge.is_running();
+    if (!is_running) break;
+    const long anonymous_kb = edge.anonymous_kb();
+    const long resident_kb = edge.resident_kb();
+    if (anonymous_kb > peak_kb) {
+      peak_kb = anonymous_kb;
+      resident_at_peak_kb = resident_kb;
+    }
+    if (record.ms() >= next_line_at) {
+      next_line_at = record.ms() + 500;
+      record.line("memory without files=" + std::to_string(anonymous_kb) +
+                  " kB, resident=" + std::to_string(resident_kb) + " kB");
+    }
+    if (anonymous_kb <= kMemoryMb * 1024) continue;
+    record.line("memory without files=" + std::to_string(anonymous_kb) + " kB, over the limit of " +
+                std::to_string(kMemoryMb * 1024) + ": the platform kills the edge proxy");
+    edge.kill_now();
+    was_killed = true;
+    break;
   }
+  sleep_for(milliseconds(200));
+  is_over = true;
+  // Clients that wait for an answer get the rest of its time before the process ends.
+  for (std::thread& client : clients) client.join();
+  is_running = is_running && !was_killed && edge.is_running();
   edge.kill_now();
-  if (sum.answered + sum.lost != kClients * kRequests) return kNotRun;
-  return is_running && sum.lost == 0 && !sum.is_wrong ? kHeld : kBroken;
+  bad_clients_start.join();
+  for (std::thread& client : bad_clients) client.join();
+  record.line("sent=" + std::to_string(counts.sent) + " answered=" + std::to_string(counts.answered) +
+              " lost=" + std::to_string(counts.lost) + " wrong=" + std::to_string(counts.wrong) +
+              " bad connections=" + std::to_string(counts.bad_connections) + " ended=" +
+              std::to_string(counts.bad_ended) + " answered=" + std::to_string(counts.bad_served));
+  record.line("highest memory without files=" + std::to_string(peak_kb) + " kB, resident then=" +
+              std::to_string(resident_at_peak_kb) + " kB, of " + std::to_string(kMemoryMb * 1024));
+  if (counts.unreachable > 0 || counts.answered == 0) return kNotRun;
+  return is_running && counts.lost == 0 && counts.wrong == 0 ? kHeld : kBroken;
 }
--- a/review/support.h
+++ b/review/support.h
@@ -486,15 +486,19 @@
     return {std::istreambuf_iterator<char>(file), {}};
   }
   /// Resident memory in kB, as the system reports it.
-  [[nodiscard]] long resident_kb() const {
+  [[nodiscard]] long resident_kb() const { return status_kb("VmRSS:"); }
+  /// Resident memory without pages of files, so without the program and its libraries.
+  [[nodiscard]] long anonymous_kb() const { return status_kb("RssAnon:"); }
+
+ private:
+  [[nodiscard]] long status_kb(const std::string& key) const {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
     for (std::string line; std::getline(file, line);) {
-      if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6);
+      if (line.rfind(key, 0) == 0) return std::atol(line.c_str() + key.size());
     }
     return 0;
   }
 
- private:
   std::string root_, config_path_, folder_, log_path_, ended_;
   pid_t pid_ = -1;
 };
