Log once a second for which use peers make the process hold memory

Change: `MemoryAccount` sums what is held by use (clients' incomplete messages, accepted requests with their bodies, unread replies, incomplete responses, operators' calls), and the line `memory` shows the sums and the highest total of the last second. Nothing is limited by it yet.

--- a/src/codec/http_call.h
+++ b/src/codec/http_call.h
@@ -32,6 +32,8 @@
   [[nodiscard]] std::optional<HttpCall> next();
   /// True if the received bytes are malformed or too large to be accepted.
   [[nodiscard]] bool is_broken() const { return is_broken_; }
+  /// Capacity of the buffer, in bytes.
+  [[nodiscard]] std::size_t buffered_bytes() const { return received_.capacity(); }
 
  private:
   [[nodiscard]] std::optional<HttpCall> read_call(std::size_t head_end);
--- a/src/proxy/admin/admin_connections.cpp
+++ b/src/proxy/admin/admin_connections.cpp
@@ -2,6 +2,8 @@
 #include "proxy/admin/admin_connections.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "proxy/admin/http_status.h"
@@ -11,7 +13,7 @@
 void AdminConnections::on_accepted(ConnectionId connection) {
   ++context_.open_connections;
   if (is_full()) end(connection_to_evict(), CloseReason::too_many, true);
-  connections_[connection].opened_at = context_.now;
+  connections_.try_emplace(connection, context_.memory).first->second.opened_at = context_.now;
 }
 
 bool AdminConnections::is_full() const {
@@ -28,6 +30,7 @@
 std::optional<AdminCall> AdminConnections::on_bytes(ConnectionId connection, std::string_view bytes) {
   AdminConnection& sender = connections_.at(connection);
   sender.reader.feed(bytes);
+  if (!sender.answered_at) sender.memory.set(sender.reader.buffered_bytes());
   if (const auto call = sender.reader.next()) return read_admin_call(*call);
   if (sender.reader.is_broken() && !sender.answered_at) reply(connection, kHttpBadRequest, "unreadable\n");
   return std::nullopt;
@@ -37,7 +40,9 @@
   AdminConnection& caller = connections_.at(connection);
   ++caller.call_count;
   caller.answered_at = context_.now;
-  context_.write(connection, codec::write_http_response(status, body));
+  std::string response = codec::write_http_response(status, body);
+  caller.memory.set(response.size());
+  context_.write(connection, std::move(response));
   context_.shutdown_write(connection);
 }
 
--- a/src/proxy/admin/admin_connections.h
+++ b/src/proxy/admin/admin_connections.h
@@ -37,10 +37,13 @@
 
  private:
   struct AdminConnection {
+    explicit AdminConnection(MemoryAccount& account) : memory(account, MemoryUse::admin_calls) {}
+
     Time opened_at{0};
     std::uint64_t call_count = 0;
     std::optional<Time> answered_at;
     codec::HttpCallReader reader;
+    MemoryCharge memory;  ///< the incomplete call and the unread reply
   };
 
   [[nodiscard]] bool is_full() const;
--- a/src/proxy/admin/stats_log.cpp
+++ b/src/proxy/admin/stats_log.cpp
@@ -32,6 +32,7 @@
 
 void StatsLog::log_second(Context& context, const Gauges& gauges) {
   if (counters != SecondCounters{}) log_requests(context, gauges);
+  log_memory(context);
   counters = {};
   failed_attempt_lines_ = 0;
   for (const auto& [endpoint, counts] : std::exchange(results_, {})) {
@@ -55,6 +56,20 @@
       " sockets=" + std::to_string(gauges.connections));
 }
 
+/// Shows for which use peers make the process hold memory.
+void StatsLog::log_memory(Context& context) {
+  const std::size_t peak = context.memory.take_peak();
+  if (peak == 0) return;
+  std::string line =
+      "memory limit=" + std::to_string(context.memory.limit()) + " peak=" + std::to_string(peak);
+  for (std::size_t use = 0; use < kMemoryUseCount; ++use) {
+    const auto memory_use = static_cast<MemoryUse>(use);
+    line.append(" ").append(name_of(memory_use)).append("=");
+    line.append(std::to_string(context.memory.held(memory_use)));
+  }
+  context.log(std::move(line));
+}
+
 void StatsLog::log_results(Context& context, const std::string& endpoint, const ResultCounts& counts) {
   std::string line = "endings member=" + endpoint;
   for (const auto& [result, count] : counts) {
--- a/src/proxy/client/client_connections.cpp
+++ b/src/proxy/client/client_connections.cpp
@@ -16,7 +16,7 @@
 
 void ClientConnections::on_accepted(ConnectionId id) {
   ++context_.open_connections;
-  ClientConnection client;
+  ClientConnection client(context_.memory);
   client.protocol = make_thrift_protocol();
   client.opened_at = client.active_at = context_.now;
   client.message_started_at = context_.now;
@@ -74,6 +74,7 @@
   }
   client.active_at = context_.now;
   std::vector<ClientCall> calls = client.protocol->feed(bytes);
+  client.message_memory.set(client.protocol->buffered_bytes());
   client.has_sent_message = client.has_sent_message || !calls.empty();
   if (!calls.empty() || client.message_started_at.count() == 0) client.message_started_at = context_.now;
   if (client.has_sent_message && !client.protocol->has_partial_message()) client.message_started_at = Time{0};
@@ -95,8 +96,7 @@
   if (found == connections_.end()) return;
   ClientConnection& client = found->second;
   client.active_at = context_.now;
-  client.unsent_bytes += bytes.size();
-  unsent_bytes_ += bytes.size();
+  client.reply_memory.set(client.reply_memory.bytes() + bytes.size());
   client.is_writing = true;
   context_.write(id, std::move(bytes));
 }
@@ -104,15 +104,14 @@
 void ClientConnections::on_write_drained(ConnectionId id) {
   ClientConnection& client = connections_.at(id);
   client.active_at = context_.now;
-  unsent_bytes_ -= client.unsent_bytes;
-  client.unsent_bytes = 0;
+  client.reply_memory.set(0);
   client.is_writing = false;
 }
 
 bool ClientConnections::is_backed_up(ConnectionId id) const {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return false;
-  return found->second.unsent_bytes > context_.limits.reject_unsent_bytes ||
+  return found->second.reply_memory.bytes() > context_.limits.reject_unsent_bytes ||
          found->second.open_calls.size() >= kMaxOpenCallsPerConnection;
 }
 
@@ -129,6 +128,8 @@
   context_.shutdown_write(id);
   ClientConnection& client = found->second;
   client.draining_for = reason;
+  client.protocol.reset();  // no further message is read
+  client.message_memory.set(0);
   draining_.push_back(id);
   client.active_at = context_.now;
   std::vector<std::string> open_requests;
@@ -159,7 +160,6 @@
   const ClientConnection& client = found->second;
   std::vector<std::string> open_requests;
   for (const auto& [call, request] : client.open_calls) open_requests.push_back(request);
-  unsent_bytes_ -= client.unsent_bytes;
   if (client.draining_for) std::erase(draining_, id);
   context_.log_closed({"front", id, client.opened_at, client.request_count, {}},
                       client.draining_for.value_or(reason), closed_by);
@@ -176,7 +176,7 @@
     auto& expired = expiry->mode == CloseMode::drain ? to_drain : to_close;
     expired.emplace_back(id, expiry->reason);
   }
-  if (to_close.empty() && unsent_bytes_ > context_.limits.unsent_bytes) {
+  if (to_close.empty() && context_.memory.held(MemoryUse::client_replies) > context_.limits.unsent_bytes) {
     to_close.emplace_back(connection_with_most_unsent(), CloseReason::backlog);
   }
   for (const auto& [id, reason] : to_drain) drain(id, reason);
@@ -207,14 +207,15 @@
 
 /// Clients that send requests but never read the replies must not hold memory and descriptors.
 bool ClientConnections::exceeds_unread_limits(const ClientConnection& client, Time inactive) const {
-  if (client.unsent_bytes > context_.limits.disconnect_unsent_bytes) return true;
+  if (client.reply_memory.bytes() > context_.limits.disconnect_unsent_bytes) return true;
   return client.is_writing && client.open_calls.empty() && inactive >= context_.limits.unread_timeout;
 }
 
 ConnectionId ClientConnections::connection_with_most_unsent() const {
-  const auto most = std::max_element(
-      connections_.begin(), connections_.end(),
-      [](const auto& one, const auto& other) { return one.second.unsent_bytes < other.second.unsent_bytes; });
+  const auto most =
+      std::max_element(connections_.begin(), connections_.end(), [](const auto& one, const auto& other) {
+        return one.second.reply_memory.bytes() < other.second.reply_memory.bytes();
+      });
   return most->first;
 }
 
--- a/src/proxy/client/client_connections.h
+++ b/src/proxy/client/client_connections.h
@@ -65,14 +65,19 @@
 
  private:
   struct ClientConnection {
-    std::unique_ptr<ClientProtocol> protocol;
+    explicit ClientConnection(MemoryAccount& memory)
+        : message_memory(memory, MemoryUse::client_messages),
+          reply_memory(memory, MemoryUse::client_replies) {}
+
+    std::unique_ptr<ClientProtocol> protocol;  ///< null while the connection drains
     Time opened_at{0}, active_at{0};
     Time message_started_at{0};  ///< start of the incomplete message, or of the wait for the first; 0: none
     bool has_sent_message = false;  ///< whether a complete message has been received
     std::optional<CloseReason> draining_for;
     std::size_t discarded_bytes = 0;
     std::uint64_t request_count = 0;
-    std::size_t unsent_bytes = 0;
+    MemoryCharge message_memory;  ///< the incomplete message
+    MemoryCharge reply_memory;    ///< the replies that the client has not read
     bool is_writing = false;
     std::map<CallId, std::string> open_calls;
   };
@@ -98,7 +103,6 @@
   Context& context_;
   std::map<ConnectionId, ClientConnection> connections_;
   std::deque<ConnectionId> draining_;  // oldest first
-  std::size_t unsent_bytes_ = 0;
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/client/client_protocol.h
+++ b/src/proxy/client/client_protocol.h
@@ -4,6 +4,7 @@
 /// implementation of ClientProtocol.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -54,6 +55,8 @@
   [[nodiscard]] virtual bool is_broken() const = 0;
   /// Whether an incomplete message has been received.
   [[nodiscard]] virtual bool has_partial_message() const = 0;
+  /// Memory of the buffer for incomplete messages, in bytes.
+  [[nodiscard]] virtual std::size_t buffered_bytes() const = 0;
 
   virtual std::string served_reply(CallId call, std::string_view body, const ClientFields& fields) = 0;
   virtual std::string rejected_reply(CallId call, const ClientFields& fields) = 0;
--- a/src/proxy/client/pending_requests.cpp
+++ b/src/proxy/client/pending_requests.cpp
@@ -146,8 +146,13 @@
   return pending;
 }
 
+std::size_t PendingRequests::memory_of(const PendingRequest& request) {
+  return kPendingRequestBytes + kBodyCopies * request.body.size();
+}
+
 void PendingRequests::add(PendingRequest request) {
   body_bytes_ += request.body.size();
+  memory_.set(memory_.bytes() + memory_of(request));
   clients_.add_open_call(request.client, request.call_id, request.request.id);
   std::string id = request.request.id;
   pending_.emplace(std::move(id), std::move(request));
@@ -167,6 +172,7 @@
 
 void PendingRequests::release(std::map<std::string, PendingRequest>::iterator pending) {
   body_bytes_ -= pending->second.body.size();
+  memory_.set(memory_.bytes() - memory_of(pending->second));
   pending_.erase(pending);
 }
 
--- a/src/proxy/client/pending_requests.h
+++ b/src/proxy/client/pending_requests.h
@@ -49,7 +49,11 @@
   };
 
   PendingRequests(Context& context, ClientConnections& clients, const Settings& settings)
-      : context_(context), clients_(clients), settings_(settings), answer_counts_(settings.classes.size()) {}
+      : context_(context),
+        clients_(clients),
+        settings_(settings),
+        memory_(context.memory, MemoryUse::requests),
+        answer_counts_(settings.classes.size()) {}
 
   /// Parses the request of a call; returns none if a field is missing, malformed or out of bounds. On
   /// success, the body is moved out of the call. `answer_deadline`: the latest time of the answer, if the
@@ -91,6 +95,7 @@
   enum class FinalAnswer { served, rejected, failed };
 
   [[nodiscard]] std::size_t class_of(std::string_view name) const;
+  [[nodiscard]] static std::size_t memory_of(const PendingRequest& request);
   [[nodiscard]] double max_size_kb(const RequestClass& request_class) const;
   [[nodiscard]] bool is_valid(const PendingRequest& pending, const RequestClass& request_class) const;
   [[nodiscard]] ClientFields retry_after_fields(Time delay) const;
@@ -104,6 +109,7 @@
   const Settings& settings_;
   std::map<std::string, PendingRequest> pending_;
   std::size_t body_bytes_ = 0;  // total of all pending requests
+  MemoryCharge memory_;         // of all pending requests
   std::vector<AnswerCounts> answer_counts_;
 };
 
--- a/src/proxy/client/thrift_protocol.cpp
+++ b/src/proxy/client/thrift_protocol.cpp
@@ -30,6 +30,7 @@
   }
   [[nodiscard]] bool is_broken() const override { return is_broken_; }
   [[nodiscard]] bool has_partial_message() const override { return frames_.has_partial_frame(); }
+  [[nodiscard]] std::size_t buffered_bytes() const override { return frames_.buffered_bytes(); }
 
   std::string served_reply(CallId call, std::string_view body, const ClientFields& fields) override {
     return codec::write_reply(call, "process", body, fields, true);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/timer_queue.h"
+#include "proxy/memory_account.h"
 #include "proxy/reducer.h"
 #include "proxy/resource_limits.h"
 
@@ -68,9 +69,10 @@
 
 /// The state that all parts of the reducer share.
 struct Context {
-  explicit Context(const config::Config& config) : limits(config) {}
+  explicit Context(const config::Config& config) : limits(config), memory(limits.peer_memory_bytes) {}
 
   ResourceLimits limits;
+  MemoryAccount memory;         ///< memory held on behalf of peers
   Time now{0};                  ///< time of the current input
   std::vector<Effect> effects;  ///< effects of the current input so far
   TimerQueue<Timer> timers;
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -269,6 +269,7 @@
     config_.max_descriptors = input.config.max_descriptors;
     config_.memory_bytes = input.config.memory_bytes;
     context_.limits = ResourceLimits(config_);
+    context_.memory.set_limit(context_.limits.peer_memory_bytes);
     local_cache_.resize(config_.memory_bytes);
     context_.log("reloaded bulletin=" + config_.discovery_address);
     discovery_client_.set_address(config_.discovery_address);
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -102,6 +102,56 @@
 /// have been missed.
 constexpr Time kDiscoverySilenceLimit = std::chrono::milliseconds(1500);
 
+// ---- Memory, from the limits of the configuration ----
+
+// The memory limit is divided as follows, so that the parts add up to it at every limit:
+//   the process itself, its tables and the objects of its connections   kProcessBytes, kDescriptorBytes each
+//   a discovery event that is received and parsed                       kDiscoveryEventCopies events
+//   streams of members (only with `peers`)                              1 / kMemberStreamMemoryDivisor
+//   copies in the local cache                                           1 / kLocalCacheMemoryDivisor
+//   memory held on behalf of all other peers (proxy/memory_account.h)   the remainder
+// The allocator takes 1 / kAllocatorOverheadDivisor of the local cache and of the remainder on top.
+
+/// Memory of the program, GLib, the log and the learnt values without any peer, in bytes.
+constexpr std::size_t kProcessBytes = 7 * 512 * 1024;
+/// Memory of the objects of one connection without buffers, in bytes.
+constexpr std::size_t kDescriptorBytes = 1536;
+/// A discovery event may take 1 / this of the memory limit.
+constexpr std::size_t kDiscoveryEventMemoryDivisor = 32;
+/// Largest size of a discovery event at any memory limit, in bytes; a list of 3,200 endpoints takes half.
+constexpr std::size_t kMaxDiscoveryEventBytes = 1024 * 1024;
+/// An event's size is taken this many times while it is parsed: the text, the JSON values and the parser.
+constexpr std::size_t kDiscoveryEventCopies = 5;
+/// The buffers of all full-sync streams may take 1 / this of the memory limit.
+constexpr std::size_t kMemberStreamMemoryDivisor = 16;
+constexpr std::size_t kAllocatorOverheadDivisor = 5;
+/// Memory of an accepted request without its body, in bytes: its fields, attempts and timers.
+constexpr std::size_t kPendingRequestBytes = 3 * 1024;
+/// Bodies are held twice: for a retry, and by the attempt that waits for a connection.
+constexpr std::size_t kBodyCopies = 2;
+
+/// Returns the largest discovery event that is accepted at this memory limit, in bytes.
+constexpr std::size_t max_discovery_event_bytes(std::size_t memory_bytes) {
+  return std::min(kMaxDiscoveryEventBytes, memory_bytes / kDiscoveryEventMemoryDivisor);
+}
+
+/// Returns how much the buffers of all full-sync streams may take at this memory limit, in bytes.
+constexpr std::size_t max_member_stream_bytes(std::size_t memory_bytes) {
+  return memory_bytes / kMemberStreamMemoryDivisor;
+}
+
+/// Returns the memory that may be held on behalf of peers; see above.
+constexpr std::size_t peer_memory_bytes(std::size_t memory_bytes, std::size_t descriptors,
+                                        bool has_membership) {
+  const std::size_t own = kProcessBytes + descriptors * kDescriptorBytes +
+                          kDiscoveryEventCopies * max_discovery_event_bytes(memory_bytes) +
+                          (has_membership ? max_member_stream_bytes(memory_bytes) : 0);
+  const std::size_t shared = memory_bytes > own ? memory_bytes - own : 0;
+  const std::size_t usable = shared - shared / kAllocatorOverheadDivisor;
+  const std::size_t local_cache = memory_bytes / kLocalCacheMemoryDivisor;
+  return usable > local_cache ? usable - local_cache : 0;
+}
+
 // ---- All connections together, from the limits of the configuration ----
 
 /// Descriptors for other purposes than the connections of ResourceLimits: standard streams, the event loop,
@@ -114,14 +164,15 @@
 /// Each kind of connection has its own share of the descriptors, so that no kind can exhaust those of another
 /// and the total stays within the limit.
 struct ResourceLimits {
-  int descriptors = 0;           ///< limit for the whole process
-  int client_connections = 0;    ///< connections of clients: half of the descriptors
-  int draining_connections = 0;  ///< further client connections, open until the replies are read
-  int admin_connections = 0;     ///< connections at the admin address
-  int upstream_connections = 0;  ///< connections to caches: a third of the descriptors, or the remainder
-  Time unread_timeout{0};        ///< no client waits longer for an answer
-  std::size_t body_bytes = 0;    ///< total size of the bodies of pending requests
-  std::size_t unsent_bytes = 0;  ///< unread replies of all clients
+  int descriptors = 0;                ///< limit for the whole process
+  int client_connections = 0;         ///< connections of clients: half of the descriptors
+  int draining_connections = 0;       ///< further client connections, open until the replies are read
+  int admin_connections = 0;          ///< connections at the admin address
+  int upstream_connections = 0;       ///< connections to caches: a third of the descriptors, or the remainder
+  Time unread_timeout{0};             ///< no client waits longer for an answer
+  std::size_t peer_memory_bytes = 0;  ///< memory held on behalf of peers, all together
+  std::size_t body_bytes = 0;         ///< total size of the bodies of pending requests
+  std::size_t unsent_bytes = 0;       ///< unread replies of all clients
   /// Unread replies of one client above which its new requests are rejected at once.
   std::size_t reject_unsent_bytes = 0;
   /// Unread replies of one client above which it is disconnected.
@@ -138,6 +189,9 @@
                          kReservedDescriptors -
                          (config.membership ? config.membership->max_streams + kMembershipDescriptors : 0))),
         unread_timeout(longest_deadline(config.settings)),
+        peer_memory_bytes(proxy::peer_memory_bytes(config.memory_bytes,
+                                                   static_cast<std::size_t>(config.max_descriptors),
+                                                   config.membership.has_value())),
         body_bytes(config.memory_bytes / 8),
         unsent_bytes(config.memory_bytes / 5),
         reject_unsent_bytes(std::min<std::size_t>(2 * 1024 * 1024, config.memory_bytes / 16)),
--- a/src/proxy/upstream/upstream_connection.cpp
+++ b/src/proxy/upstream/upstream_connection.cpp
@@ -93,9 +93,15 @@
   return key;
 }
 
-void UpstreamConnection::on_write_started(Time now) {
+void UpstreamConnection::on_write_started(std::size_t size, Time now) {
   is_writing_ = true;
   last_active_at_ = now;
+  write_memory_.set(size);
+}
+
+void UpstreamConnection::on_write_drained() {
+  is_writing_ = false;
+  write_memory_.set(0);
 }
 
 // ---- Events ----
@@ -111,6 +117,12 @@
   reader_.feed(bytes);
 }
 
+std::optional<codec::CacheResponse> UpstreamConnection::next_response() {
+  std::optional<codec::CacheResponse> response = reader_.next();
+  response_memory_.set(reader_.buffered_bytes());
+  return response;
+}
+
 void UpstreamConnection::forget_expired_uses(Time now) {
   std::erase_if(used_by_, [now](const auto& use) { return use.second <= now; });
 }
--- a/src/proxy/upstream/upstream_connection.h
+++ b/src/proxy/upstream/upstream_connection.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "codec/cache_lines.h"
+#include "proxy/memory_account.h"
 #include "proxy/reducer.h"
 #include "proxy/upstream/upstream_request.h"
 
@@ -28,8 +29,13 @@
 /// Does no I/O; the pool writes the bytes that it takes from here.
 class UpstreamConnection {
  public:
-  UpstreamConnection(std::string endpoint, Time now)
-      : endpoint_(std::move(endpoint)), opened_at_(now), last_active_at_(now), last_received_at_(now) {}
+  UpstreamConnection(std::string endpoint, Time now, MemoryAccount& memory)
+      : endpoint_(std::move(endpoint)),
+        opened_at_(now),
+        last_active_at_(now),
+        last_received_at_(now),
+        response_memory_(memory, MemoryUse::endpoint_responses),
+        write_memory_(memory, MemoryUse::requests) {}
 
   // ---- Properties ----
   [[nodiscard]] const std::string& endpoint() const { return endpoint_; }
@@ -85,13 +91,14 @@
   [[nodiscard]] std::optional<AttemptKey> take_queued_attempt(Time now);
   /// Sets the time until which was_used_by() holds for the request.
   void set_used_until(const std::string& request, Time until) { used_by_[request] = until; }
-  void on_write_started(Time now);
-  void on_write_drained() { is_writing_ = false; }
+  /// `size`: number of bytes that are written.
+  void on_write_started(std::size_t size, Time now);
+  void on_write_drained();
 
   // ---- Events ----
   void on_connected(Time now);
   void on_bytes(std::string_view bytes, Time now);
-  [[nodiscard]] std::optional<codec::CacheResponse> next_response() { return reader_.next(); }
+  [[nodiscard]] std::optional<codec::CacheResponse> next_response();
   [[nodiscard]] codec::LineError read_error() const { return reader_.error(); }
   /// Restarts the silence timeout after an event loop stall, since bytes that arrived during it are unread.
   void on_loop_stall(Time now) { last_received_at_ = now; }
@@ -116,6 +123,8 @@
   std::uint64_t request_count_ = 0;
   int unanswered_count_ = 0;  // attempts abandoned since the last received byte
   codec::CacheResponseReader reader_;
+  MemoryCharge response_memory_;              // the incomplete response
+  MemoryCharge write_memory_;                 // the bytes that are being written
   std::map<std::string, int> open_attempts_;  // attempt numbers by request
   std::deque<AttemptKey> queued_attempts_;
   std::string commands_;                       // cancels and health checks to be written
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -253,7 +253,7 @@
 
 ConnectionId UpstreamPool::open_connection(EndpointTable::Entry& endpoint) {
   const ConnectionId id = context_.connect(endpoint.address);
-  connections_.try_emplace(id, endpoint.endpoint.id, context_.now);
+  connections_.try_emplace(id, endpoint.endpoint.id, context_.now, context_.memory);
   endpoint.connections.insert(id);
   context_.timers.add(context_.now + connect_timeout_, {TimerKind::connect_timeout, {}, 0, id});
   return id;
@@ -268,7 +268,7 @@
   std::string bytes = connection.take_commands();
   bytes += take_attempt_bytes(connection);
   if (bytes.empty()) return;
-  connection.on_write_started(context_.now);
+  connection.on_write_started(bytes.size(), context_.now);
   context_.write(id, std::move(bytes));
 }
 
