--- a/src/app/edge_proxy_main.cpp
+++ b/src/app/edge_proxy_main.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 // The edge proxy: loads the configuration and runs the server.
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -22,9 +24,22 @@
   return variables;
 }
 
+/// Large buffers get pages of their own, which go back to the system when they are freed, and the top of the
+/// heap is returned as well. By default, glibc raises both thresholds whenever a large buffer is freed, and
+/// the memory of a short burst stays with the process.
+void limit_allocator_overhead() {
+  constexpr int kMinMappedBytes = 128 * 1024;
+  constexpr int kMaxUnusedTopBytes = 256 * 1024;
+  constexpr int kMaxArenas = 2;
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxUnusedTopBytes);
+  mallopt(M_ARENA_MAX, kMaxArenas);
+}
+
 }  // namespace
 
 int main() {
+  limit_allocator_overhead();
   // A write to a connection closed by the peer must not terminate the process.
   std::signal(SIGPIPE, SIG_IGN);
   try {
--- a/src/base/timer_queue.h
+++ b/src/base/timer_queue.h
@@ -25,6 +25,12 @@
 
   [[nodiscard]] std::size_t size() const { return items_.size(); }
 
+  /// Removes the items for which `is_stale(item)` is true.
+  template <typename IsStale>
+  void erase_if(IsStale&& is_stale) {
+    std::erase_if(items_, [&is_stale](const auto& entry) { return is_stale(entry.second); });
+  }
+
   /// Removes and returns the first item that is due by `now`.
   std::optional<T> pop_due(Time now) {
     if (items_.empty() || items_.begin()->first.first > now) return std::nullopt;
--- a/src/codec/cache_lines.cpp
+++ b/src/codec/cache_lines.cpp
@@ -81,7 +81,7 @@
 /// connections do not each keep a large buffer.
 std::optional<CacheResponse> CacheResponseReader::wait_for_bytes() {
   buffer_.erase(0, std::exchange(consumed_, 0));
-  if (buffer_.empty() && buffer_.capacity() > kMaxLine) std::string().swap(buffer_);
+  if (buffer_.empty() && buffer_.capacity() > kMaxIdleResponseBuffer) std::string().swap(buffer_);
   return std::nullopt;
 }
 
--- a/src/codec/cache_lines.h
+++ b/src/codec/cache_lines.h
@@ -12,6 +12,8 @@
 
 /// Largest response line that a cache may send, in bytes.
 constexpr std::size_t kMaxLine = 8 * 1024;
+/// Buffer capacity that an idle connection keeps, in bytes.
+constexpr std::size_t kMaxIdleResponseBuffer = 1024;
 /// Largest response body that a cache may send, in bytes.
 constexpr std::size_t kMaxBody = 240'000;
 
@@ -68,6 +70,14 @@
   [[nodiscard]] LineError error() const { return error_; }
   /// Capacity of the buffer, in bytes.
   [[nodiscard]] std::size_t buffered_bytes() const { return buffer_.capacity(); }
+  /// Whether an incomplete response has been received.
+  [[nodiscard]] bool has_partial_response() const {
+    return partial_response_.has_value() || buffer_.size() > consumed_;
+  }
+  /// Returns the id of the incomplete response; empty if its line is incomplete or there is none.
+  [[nodiscard]] std::string_view partial_response_id() const {
+    return partial_response_ ? std::string_view(partial_response_->id) : std::string_view();
+  }
 
  private:
   std::optional<CacheResponse> wait_for_bytes();
--- a/src/codec/discovery_events.cpp
+++ b/src/codec/discovery_events.cpp
@@ -63,6 +63,16 @@
   return invalidation;
 }
 
+/// Whether the text may hold so many values that they would take several times the memory of the text.
+bool has_too_many_values(std::string_view json) {
+  constexpr std::size_t kBytesPerValue = 10;  // an endpoint takes more for each of its fields
+  constexpr std::size_t kAlwaysAllowedValues = 4096;
+  const auto separators = std::count_if(json.begin(), json.end(), [](char character) {
+    return character == ',' || character == '[' || character == '{';
+  });
+  return static_cast<std::size_t>(separators) > std::max(kAlwaysAllowedValues, json.size() / kBytesPerValue);
+}
+
 }  // namespace
 
 DiscoveryEvent read_discovery_event(const Fields& fields, const DiscoveryNames& names) {
@@ -76,6 +86,7 @@
 }
 
 DiscoveryEvent parse_discovery_event(std::string_view json, const DiscoveryNames& names) {
+  if (has_too_many_values(json)) throw FieldError(0, "", "has too many values");
   rapidjson::Document document;
   // Iterative parsing keeps deeply nested input from overflowing the stack.
   document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kStatusOffset = 8;  // position of kOkStatus in the status line
 constexpr std::size_t kMaxChunkHeaderBytes = 1024;
 constexpr int kHexadecimal = 16;
+constexpr std::size_t kMaxIdleBuffer = 16 * 1024;  // buffer capacity that is kept between events, in bytes
 
 /// Tests whether a response head has status 200. `head` is in lower case.
 bool is_ok(std::string_view head) {
@@ -65,7 +66,8 @@
   if (is_chunked_) {
     decode_chunks();
   } else {
-    decoded_.append(std::exchange(received_, {}));
+    append_decoded(received_);
+    received_.clear();
   }
 }
 
@@ -97,7 +99,7 @@
       continue;
     }
     const std::size_t part = std::min(chunk_remaining_, received_.size() - position);
-    decoded_.append(received_, position, part);
+    append_decoded(std::string_view(received_).substr(position, part));
     position += part;
     chunk_remaining_ -= part;
   }
@@ -124,7 +126,7 @@
   const auto [parsed_end, error] =
       std::from_chars(header.data() + start, size_end, chunk_remaining_, kHexadecimal);
   const bool is_terminated = parsed_end == size_end || *parsed_end == ';';
-  if (error != std::errc{} || !is_terminated || chunk_remaining_ > kMaxEvent) {
+  if (error != std::errc{} || !is_terminated || chunk_remaining_ > max_event_bytes_) {
     error_ = StreamError::bad_chunk;
     return std::nullopt;
   }
@@ -132,16 +134,32 @@
   return position + end + kLineEnd.size();
 }
 
-std::optional<std::string> EventStreamReader::take_line() {
-  const std::size_t end = decoded_.find('\n');
+void EventStreamReader::append_decoded(std::string_view bytes) {
+  const std::size_t size = decoded_.size() + bytes.size();
+  if (size > decoded_.capacity()) {
+    std::string grown;  // a new string, since reserve() of an existing one doubles its capacity
+    grown.reserve(std::max(size, std::min(2 * decoded_.capacity(), max_event_bytes_)));
+    grown.append(decoded_);
+    decoded_.swap(grown);
+  }
+  decoded_.append(bytes);
+}
+
+std::optional<std::string_view> EventStreamReader::take_line() {
+  const std::size_t end = decoded_.find('\n', taken_);
   if (end == std::string::npos) return std::nullopt;
   ++lines_;
-  std::string line = decoded_.substr(0, end);
-  decoded_.erase(0, end + 1);
-  if (!line.empty() && line.back() == '\r') line.pop_back();
+  std::string_view line = std::string_view(decoded_).substr(taken_, end - taken_);
+  taken_ = end + 1;
+  if (line.ends_with('\r')) line.remove_suffix(1);
   return line;
 }
 
+void EventStreamReader::release_lines() {
+  decoded_.erase(0, std::exchange(taken_, 0));
+  if (decoded_.empty() && decoded_.capacity() > kMaxIdleBuffer) std::string().swap(decoded_);
+}
+
 void EventStreamReader::read_field(std::string_view line) {
   const std::size_t colon = std::min(line.find(':'), line.size());
   const std::string_view name = line.substr(0, colon);
@@ -152,21 +170,24 @@
   } else if (name == "data") {
     if (std::exchange(has_data_, true)) event_.data += '\n';
     event_.data += value;
-    if (event_.data.size() > kMaxEvent) error_ = StreamError::event_too_long;
+    if (event_.data.size() > max_event_bytes_) error_ = StreamError::event_too_long;
   }
 }
 
 std::optional<StreamEvent> EventStreamReader::next() {
-  while (const std::optional<std::string> line = take_line()) {
+  while (const std::optional<std::string_view> line = take_line()) {
     if (!line->empty()) {
       read_field(*line);
       continue;
     }
     StreamEvent event = std::exchange(event_, {});
-    if (std::exchange(has_data_, false)) return event;
+    if (!std::exchange(has_data_, false)) continue;
+    release_lines();
+    return event;
   }
+  release_lines();
   // Bounds the memory that an endless line or event can take.
-  if (decoded_.size() + event_.data.size() > kMaxEvent) error_ = StreamError::event_too_long;
+  if (decoded_.size() + event_.data.size() > max_event_bytes_) error_ = StreamError::event_too_long;
   return std::nullopt;
 }
 
--- a/src/codec/event_stream.h
+++ b/src/codec/event_stream.h
@@ -12,7 +12,7 @@
 
 /// Largest response head that is accepted, in bytes.
 constexpr std::size_t kMaxHead = 16 * 1024;
-/// Largest event, and largest chunk, that is accepted, in bytes.
+/// Largest event, and largest chunk, that is accepted unless the reader has a lower limit, in bytes.
 constexpr std::size_t kMaxEvent = 1024 * 1024;
 
 /// One event; a field absent from the stream is empty.
@@ -35,6 +35,9 @@
 /// ignored, but lines() counts them as a sign that the stream is alive.
 class EventStreamReader {
  public:
+  /// `max_event_bytes`: largest event, and largest chunk, that is accepted.
+  explicit EventStreamReader(std::size_t max_event_bytes = kMaxEvent) : max_event_bytes_(max_event_bytes) {}
+
   void feed(std::string_view bytes);
   /// Returns the next complete event; none if more bytes are needed or an error has occurred.
   [[nodiscard]] std::optional<StreamEvent> next();
@@ -49,12 +52,19 @@
   /// Parses the size line of the next chunk, which starts at `position` in `received_`. Returns the position
   /// after the line; none if the line is incomplete or an error is set.
   std::optional<std::size_t> read_chunk_header(std::size_t position);
-  /// Removes the next line from `decoded_` and returns it without its line end; none if it is incomplete.
-  std::optional<std::string> take_line();
+  /// Appends to `decoded_`, whose capacity grows by no more than is needed for the largest event.
+  void append_decoded(std::string_view bytes);
+  /// Returns the next line of `decoded_` without its line end; none if it is incomplete. The line stays valid
+  /// until bytes are fed or release_lines() is called.
+  std::optional<std::string_view> take_line();
+  /// Discards the lines that were taken.
+  void release_lines();
   void read_field(std::string_view line);
 
-  std::string received_;  // raw bytes: the response head, then the body as sent
-  std::string decoded_;   // body with the chunked coding removed
+  std::size_t max_event_bytes_;
+  std::string received_;   // raw bytes: the response head, then the body as sent
+  std::string decoded_;    // body with the chunked coding removed
+  std::size_t taken_ = 0;  // bytes at the front of `decoded_` that were returned as lines
   bool in_body_ = false;
   bool is_chunked_ = false;
   std::size_t chunk_remaining_ = 0;  // bytes of the current chunk not yet moved to `decoded_`
--- a/src/codec/thrift.cpp
+++ b/src/codec/thrift.cpp
@@ -28,8 +28,10 @@
 constexpr int kByteBits = 8;
 constexpr int kTopByteShift = 24;  // shift of the top byte of 32 bits
 constexpr std::size_t kFrameLengthBytes = 4;
+constexpr std::size_t kMaxMapEntries = 64;        // of a call; the service has about ten fields
 constexpr int kMaxDepth = 16;                     // nesting depth of containers
-constexpr std::size_t kMaxIdleBuffer = 4 * 1024;  // buffer capacity that an idle connection keeps, in bytes
+constexpr std::size_t kMaxIdleBuffer = 1024;      // buffer capacity that an idle connection keeps, in bytes
+constexpr std::size_t kMaxUnusedBufferRatio = 4;  // of the capacity to the bytes of an incomplete frame
 constexpr std::size_t kHeaderReserveBytes = 64;   // reserved for the message header and field headers
 
 // Method names of the service, and the field ids of their arguments and results.
@@ -161,16 +163,17 @@
 }
 
 /// Reads the map argument of `process` into `fields`. Returns false, and skips the map, if its keys or values
-/// are not strings.
+/// are not strings or if it has too many entries.
 bool read_string_map(Cursor& cursor, StringMap& fields) {
   const TypeByte key_type = cursor.type();
   const TypeByte value_type = cursor.type();
   std::uint32_t remaining = cursor.u32();
   const bool holds_strings =
       remaining == 0 || (key_type == TypeByte::string && value_type == TypeByte::string);
+  const bool is_readable = holds_strings && remaining <= kMaxMapEntries;
   fields.clear();
   for (; remaining > 0 && !cursor.failed(); --remaining) {
-    if (holds_strings) {
+    if (is_readable) {
       std::string name(cursor.text());
       fields.emplace_back(std::move(name), cursor.text());
     } else {
@@ -178,7 +181,7 @@
       cursor.skip(value_type, 1);
     }
   }
-  return holds_strings;
+  return is_readable;
 }
 
 ProcessCall read_process(Cursor& cursor) {
@@ -275,9 +278,10 @@
 
 std::optional<std::string_view> FrameReader::wait_for_bytes() {
   buffer_.erase(0, std::exchange(consumed_, 0));
-  // Releases the buffer's memory after a large frame, so that many idle connections do not each keep a large
-  // buffer.
-  if (buffer_.empty() && buffer_.capacity() > kMaxIdleBuffer) std::string().swap(buffer_);
+  // Releases the buffer's memory after a large frame, so that many connections do not each keep a large
+  // buffer for a few bytes.
+  const bool is_mostly_unused = buffer_.size() < buffer_.capacity() / kMaxUnusedBufferRatio;
+  if (is_mostly_unused && buffer_.capacity() > kMaxIdleBuffer) buffer_.shrink_to_fit();
   return std::nullopt;
 }
 
--- a/src/event_loop/connection.cpp
+++ b/src/event_loop/connection.cpp
@@ -31,8 +31,8 @@
   // Input is read even if the client doesn't read its answers, because it may contain a cancel. The reducer
   // bounds the output that is pending for a client.
   std::uint32_t events = 0;
-  if (!is_connecting_) events |= EPOLLIN;
-  if (is_connecting_ || written_ < output_.size()) events |= EPOLLOUT;
+  if (!is_connecting_ && is_reading_) events |= EPOLLIN;
+  if (is_connecting_ || !output_.empty()) events |= EPOLLOUT;
   // A client's disconnect is detected at once, even behind unread input, so that caches do no work for a
   // client that is gone.
   if (is_accepted() && priority_ == Priority::normal) events |= EPOLLRDHUP;
@@ -70,44 +70,42 @@
   return status;
 }
 
-bool Connection::append(std::string_view bytes) {
+bool Connection::append(std::string bytes) {
   const bool was_empty = output_.empty();
-  output_ += bytes;
+  if (!was_empty && output_.back().size() + bytes.size() <= proxy::kCoalescedWriteBytes) {
+    output_.back() += bytes;
+  } else {
+    output_.push_back(std::move(bytes));
+  }
   return was_empty;
 }
 
 Connection::FlushResult Connection::flush() {
-  while (written_ < output_.size()) {
+  while (!output_.empty()) {
+    const std::string& piece = output_.front();
+    if (written_ == piece.size()) {
+      output_.pop_front();
+      written_ = 0;
+      continue;
+    }
     Error error;
-    const gssize size = g_socket_send(socket_.get(), output_.data() + written_, output_.size() - written_,
+    const gssize size = g_socket_send(socket_.get(), piece.data() + written_, piece.size() - written_,
                                       nullptr, error.out_ptr());
     if (size >= 0) {
       written_ += static_cast<std::size_t>(size);
       continue;
     }
-    if (error.matches(G_IO_ERROR_WOULD_BLOCK)) {
-      discard_written();
-      return FlushResult::blocked;
-    }
+    if (error.matches(G_IO_ERROR_WOULD_BLOCK)) return FlushResult::blocked;
     // The peer has closed the connection. Its last answers may still be unread; closing now would lose them,
     // so the end of the connection is reported only after they have been read.
     write_closed_ = true;
     clear_output();
     return FlushResult::peer_closed;
   }
-  clear_output();
-  if (output_.capacity() > proxy::kRetainedWriteBufferBytes)
-    std::string().swap(output_);  // bounds the memory held by idle buffers of many clients
   if (shutdown_requested_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
   return FlushResult::drained;
 }
 
-/// Erases written bytes once they make up more than half of the buffer, so that a large remainder is not
-/// moved after each write.
-void Connection::discard_written() {
-  if (written_ > output_.size() / 2) output_.erase(0, std::exchange(written_, 0));
-}
-
 void Connection::clear_output() {
   output_.clear();
   written_ = 0;
--- a/src/event_loop/connection.h
+++ b/src/event_loop/connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -55,10 +56,12 @@
   [[nodiscard]] ReadResult read(std::span<char> buffer) const;
   /// Reads and discards at most proxy::kMaxDiscardedBytes; returns the status of the last read.
   [[nodiscard]] ReadStatus discard_input() const;
+  /// Waits for no more input; the end of a client's connection is still reported.
+  void stop_reading() { is_reading_ = false; }
   /// Whether the peer still accepts bytes.
   [[nodiscard]] bool is_writable() const { return !write_closed_; }
   /// Appends to the write buffer. Returns true if it was empty; the caller must then call flush().
-  [[nodiscard]] bool append(std::string_view bytes);
+  [[nodiscard]] bool append(std::string bytes);
   /// Writes as much as the socket accepts.
   FlushResult flush();
   /// Shuts down the sending direction once the write buffer is empty.
@@ -66,7 +69,6 @@
 
  private:
   [[nodiscard]] std::uint32_t wanted_events() const;
-  void discard_written();
   void clear_output();
 
   proxy::ConnectionId id_;
@@ -75,10 +77,11 @@
   Priority priority_;
   std::optional<std::uint32_t> watched_events_;  ///< empty until first registered with the poller
   bool is_connecting_;
+  bool is_reading_ = true;
   bool shutdown_requested_ = false;
   bool write_closed_ = false;
-  std::string output_;
-  std::size_t written_ = 0;  ///< bytes of output_ already passed to the kernel
+  std::deque<std::string> output_;  ///< in pieces, so that appending neither copies nor reserves memory
+  std::size_t written_ = 0;         ///< bytes of the first piece already passed to the kernel
 };
 
 }  // namespace edge_proxy::event_loop
--- a/src/event_loop/membership_sockets.cpp
+++ b/src/event_loop/membership_sockets.cpp
@@ -53,8 +53,10 @@
   std::size_t written = 0;  ///< number of bytes of `output` that were sent
 };
 
-MembershipSockets::MembershipSockets(const config::MembershipConfig& config, Callbacks callbacks)
+MembershipSockets::MembershipSockets(const config::MembershipConfig& config, std::size_t max_stream_bytes,
+                                     Callbacks callbacks)
     : config_(config),
+      max_stream_bytes_(std::max(max_stream_bytes, max_sync_bytes())),
       callbacks_(std::move(callbacks)),
       store_(config.folder, config.settings.name, config.settings.cluster, callbacks_.log) {
   start_retry_source_ = call_every<&MembershipSockets::retry_start>(kStartRetryInterval, this);
@@ -167,6 +169,12 @@
   return streams_.size() < static_cast<std::size_t>(config_.max_streams);
 }
 
+bool MembershipSockets::exceeds_stream_memory() const {
+  std::size_t bytes = 0;
+  for (const auto& [id, stream] : streams_) bytes += stream->input.capacity() + stream->output.capacity();
+  return bytes > max_stream_bytes_;
+}
+
 std::size_t MembershipSockets::max_sync_bytes() const {
   const std::size_t max_entries = 2 * config_.settings.max_members + 2;
   return std::max(max_entries * kMaxMemberBytes, config_.max_user_message_bytes);
@@ -200,7 +208,11 @@
   stream.connecting = true;
   stream.writing = true;
   stream.output = membership::encode(sync.message, config_.settings.cluster);
-  watch(stream);
+  if (exceeds_stream_memory()) {
+    close_stream(stream.id);
+  } else {
+    watch(stream);
+  }
 }
 
 void MembershipSockets::perform(const membership::FullSyncReply& reply) {
@@ -208,6 +220,7 @@
   if (found == streams_.end()) return;
   Stream& stream = *found->second;
   stream.output = membership::encode(reply.message, config_.settings.cluster);
+  if (exceeds_stream_memory()) return;  // on_stream_read() closes the stream
   stream.writing = true;
   watch(stream);
 }
@@ -275,6 +288,8 @@
     if (size == 0) break;
     stream.input.append(buffer.data(), static_cast<std::size_t>(size));
     if (stream.input.size() > max_sync_bytes()) break;  // the codec rejects it
+    // The member tries again later.
+    if (exceeds_stream_memory()) return StreamState::finished;
   }
   return on_stream_read(stream);
 }
--- a/src/event_loop/membership_sockets.h
+++ b/src/event_loop/membership_sockets.h
@@ -34,7 +34,9 @@
     std::function<void(membership::Input)> input;
     std::function<void(const std::string&)> log;
   };
-  MembershipSockets(const config::MembershipConfig& config, Callbacks callbacks);
+  /// `max_stream_bytes`: memory for the buffers of all streams; one full sync always fits.
+  MembershipSockets(const config::MembershipConfig& config, std::size_t max_stream_bytes,
+                    Callbacks callbacks);
   ~MembershipSockets();
   MembershipSockets(const MembershipSockets&) = delete;
   MembershipSockets& operator=(const MembershipSockets&) = delete;
@@ -62,6 +64,7 @@
   [[nodiscard]] bool exceeds_datagram_rate(GSocketAddress* sender);
   void accept();
   [[nodiscard]] bool has_stream_capacity() const;
+  [[nodiscard]] bool exceeds_stream_memory() const;
   [[nodiscard]] std::size_t max_sync_bytes() const;
   Stream& add_stream(ObjectPtr<GSocket> socket, std::string peer, StreamRole role);
   void watch(Stream& stream);
@@ -74,6 +77,7 @@
   void on_bytes(std::string_view bytes, std::size_t max_bytes, const std::string& from, std::uint64_t stream);
 
   const config::MembershipConfig config_;
+  std::size_t max_stream_bytes_;
   Callbacks callbacks_;
   MembershipStore store_;
   ObjectPtr<GSocket> datagram_socket_;
--- a/src/event_loop/server.cpp
+++ b/src/event_loop/server.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <utility>
+#include <vector>
 
 #include "event_loop/address.h"
 #include "proxy/resource_limits.h"
@@ -31,7 +32,7 @@
   timer_ = Timer::create<&Server::on_timer>(this);
   terminate_source_ = watch_signal<&Server::on_shutdown_signal>(SIGTERM, this);
   interrupt_source_ = watch_signal<&Server::on_shutdown_signal>(SIGINT, this);
-  if (config.membership) start_membership(*config.membership);
+  if (config.membership) start_membership(config);
   if (config.policy) {
     consensus_ = std::make_unique<ConsensusThread>(
         *config.policy, config.seed, [this](proxy::ConsensusOutput output) { handle(std::move(output)); });
@@ -41,9 +42,9 @@
 
 Server::~Server() = default;
 
-void Server::start_membership(const config::MembershipConfig& config) {
+void Server::start_membership(const config::Config& config) {
   membership_sockets_ = std::make_unique<MembershipSockets>(
-      config,
+      *config.membership, proxy::max_member_stream_bytes(config.memory_bytes),
       MembershipSockets::Callbacks{
           .ready =
               [this](membership::Identity identity) { handle(proxy::MembershipReady{std::move(identity)}); },
@@ -91,8 +92,9 @@
 }
 
 void Server::dispatch(const proxy::Input& input) {
-  for (const proxy::Effect& effect : proxy::reduce(state_, clock_.now(), input)) {
-    std::visit([this](const auto& alternative) { perform(alternative); }, effect);
+  std::vector<proxy::Effect> effects = proxy::reduce(state_, clock_.now(), input);
+  for (proxy::Effect& effect : effects) {
+    std::visit([this](auto& alternative) { perform(alternative); }, effect);
   }
 }
 
@@ -264,11 +266,11 @@
 
 // ---- Effects ----
 
-void Server::perform(const proxy::Write& write) {
+void Server::perform(proxy::Write& write) {
   Connection* connection = find_connection(write.connection);
   if (connection == nullptr || !connection->is_writable()) return;
   // If the buffer was not empty, the bytes are written when the socket becomes writable.
-  if (connection->append(write.bytes)) flush(*connection);
+  if (connection->append(std::move(write.bytes))) flush(*connection);
 }
 
 void Server::perform(const proxy::Connect& request) { connect(request, OnDescriptorExhaustion::retry_later); }
@@ -277,6 +279,13 @@
   if (Connection* connection = find_connection(shutdown.connection)) connection->shutdown_write();
 }
 
+void Server::perform(const proxy::StopReading& stop) {
+  Connection* connection = find_connection(stop.connection);
+  if (connection == nullptr) return;
+  connection->stop_reading();
+  connection->update_watch(poller_);
+}
+
 void Server::perform(const proxy::Close& close) {
   if (close.connection == proxy::kListener) {
     close_client_listener();
--- a/src/event_loop/server.h
+++ b/src/event_loop/server.h
@@ -51,7 +51,7 @@
   void on_shutdown_signal();
   void reload();
   void load_overrides();
-  void start_membership(const config::MembershipConfig& config);
+  void start_membership(const config::Config& config);
 
   // Connections
   void on_accepted(AcceptedSocket accepted);
@@ -68,9 +68,10 @@
   Connection* find_connection(proxy::ConnectionId id);
 
   // Effects
-  void perform(const proxy::Write& write);
+  void perform(proxy::Write& write);
   void perform(const proxy::Connect& request);
   void perform(const proxy::ShutdownWrite& shutdown);
+  void perform(const proxy::StopReading& stop);
   void perform(const proxy::Close& close);
   void perform(const proxy::DrainAndClose& close);
   void perform(const proxy::ArmTimer& timer);
--- a/src/proxy/admin/admin_connections.cpp
+++ b/src/proxy/admin/admin_connections.cpp
@@ -77,6 +77,12 @@
   return CloseReason::no_message;
 }
 
+void AdminConnections::shed_excess_memory() {
+  while (connections_.size() > 1 && context_.memory.is_exceeded(MemoryUse::admin_calls)) {
+    end(connection_to_evict(), CloseReason::memory_limit, true);
+  }
+}
+
 void AdminConnections::stop() {
   while (!connections_.empty()) end(connections_.begin()->first, CloseReason::stopping, true);
 }
--- a/src/proxy/admin/admin_connections.h
+++ b/src/proxy/admin/admin_connections.h
@@ -33,6 +33,9 @@
   /// Closes connections whose call did not arrive within kAdminCallTimeout, or that the caller did not close
   /// within kDrainTimeout after the response.
   void sweep();
+  /// Closes connections until calls and replies are within their memory, unanswered and old ones first; one
+  /// connection may always stay.
+  void shed_excess_memory();
   void stop();
 
  private:
--- a/src/proxy/client/client_call_handler.cpp
+++ b/src/proxy/client/client_call_handler.cpp
@@ -42,6 +42,23 @@
 
 void ClientCallHandler::close_expired() { cancel(dependencies_.connections.close_expired()); }
 
+void ClientCallHandler::shed_excess_memory() {
+  const MemoryAccount& memory = dependencies_.memory;
+  if (memory.is_exceeded(MemoryUse::client_messages)) shed_incomplete_messages();
+  if (memory.is_exceeded(MemoryUse::client_replies)) cancel(dependencies_.connections.close_excess_readers());
+}
+
+void ClientCallHandler::shed_incomplete_messages() {
+  ClientConnections& connections = dependencies_.connections;
+  for (const ConnectionId client : connections.with_incomplete_message()) {
+    if (!dependencies_.memory.is_exceeded(MemoryUse::client_messages)) return;
+    for (const std::string& request : connections.open_requests(client)) {
+      dependencies_.dispatcher.fail(request);
+    }
+    connections.stop_reading(client);
+  }
+}
+
 void ClientCallHandler::handle(ConnectionId client, ObjectRequest& call) {
   AdmissionResult result = dependencies_.admission.admit(client, call);
   if (const auto* reason = std::get_if<RejectionReason>(&result)) {
--- a/src/proxy/client/client_call_handler.h
+++ b/src/proxy/client/client_call_handler.h
@@ -27,6 +27,7 @@
     RequestDispatcher& dispatcher;
     const Readiness& readiness;
     StatsLog& stats;
+    const MemoryAccount& memory;
   };
   explicit ClientCallHandler(const Dependencies& dependencies) : dependencies_(dependencies) {}
 
@@ -35,12 +36,16 @@
   void on_closed(ConnectionId client, CloseReason reason);
   /// Closes the connections whose time limits have expired, and cancels their requests.
   void close_expired();
+  /// Discards incomplete messages and closes clients that do not read, until both are within their memory.
+  /// Open requests of a client that loses its message get their answers first.
+  void shed_excess_memory();
 
  private:
   void handle(ConnectionId client, ObjectRequest& call);
   void handle(ConnectionId client, const CancelRequest& call);
   void handle(ConnectionId client, const ReadinessCheck& call);
   void handle(ConnectionId client, const UnknownMethod& call);
+  void shed_incomplete_messages();
   void reject(ConnectionId client, const ObjectRequest& call, RejectionReason reason);
   void close_malformed_stream(ConnectionId client);
   void cancel(const std::vector<std::string>& requests);
--- a/src/proxy/client/client_connections.cpp
+++ b/src/proxy/client/client_connections.cpp
@@ -2,11 +2,14 @@
 #include "proxy/client/client_connections.h"
 
 #include <algorithm>
+#include <chrono>
+#include <tuple>
 
 namespace edge_proxy::proxy {
 namespace {
 
 // Ranks of connections in the order of eviction; see eviction_rank().
+constexpr int kNotReadRank = 0;
 constexpr int kNeverUsedRank = 1;
 constexpr int kIdleRank = 2;
 constexpr int kNewRank = 3;
@@ -32,11 +35,12 @@
 }
 
 /// Clients that open hundreds of connections without sending anything must not displace those that send
-/// requests. Connections without a message after kFirstByteTimeout are evicted first, then idle ones, the
-/// longest idle first, since their clients can reconnect. New connections are evicted last, since their first
-/// request may be in transit.
+/// requests. Connections that are not read any more are evicted first, then those without a message after
+/// kFirstByteTimeout, then idle ones, the longest idle first, since their clients can reconnect. New
+/// connections are evicted last, since their first request may be in transit.
 int ClientConnections::eviction_rank(const ClientConnection& client) const {
   if (client.draining_for || !is_idle(client)) return kBusyRank;
+  if (client.protocol == nullptr) return kNotReadRank;
   if (client.has_sent_message) return kIdleRank;
   return context_.now - client.opened_at >= kFirstByteTimeout ? kNeverUsedRank : kNewRank;
 }
@@ -66,10 +70,10 @@
 
 std::vector<ClientCall> ClientConnections::on_bytes(ConnectionId id, std::string_view bytes) {
   ClientConnection& client = connections_.at(id);
-  if (client.draining_for) {
+  if (client.protocol == nullptr) {
     // A client that keeps sending on a draining connection would use up memory and processing time.
     client.discarded_bytes += bytes.size();
-    if (client.discarded_bytes > kMaxDiscardedBytes) close(id, *client.draining_for, ClosedBy::proxy);
+    if (client.discarded_bytes > kMaxDiscardedBytes) close(id, CloseReason::memory_limit, ClosedBy::proxy);
     return {};
   }
   client.active_at = context_.now;
@@ -83,12 +87,13 @@
 
 bool ClientConnections::is_broken(ConnectionId id) const {
   const auto found = connections_.find(id);
-  return found != connections_.end() && !found->second.draining_for && found->second.protocol->is_broken();
+  return found != connections_.end() && found->second.protocol != nullptr &&
+         found->second.protocol->is_broken();
 }
 
 ClientProtocol* ClientConnections::protocol(ConnectionId id) {
   const auto found = connections_.find(id);
-  return found == connections_.end() || found->second.draining_for ? nullptr : found->second.protocol.get();
+  return found == connections_.end() ? nullptr : found->second.protocol.get();
 }
 
 void ClientConnections::reply(ConnectionId id, std::string bytes) {
@@ -115,11 +120,23 @@
          found->second.open_calls.size() >= kMaxOpenCallsPerConnection;
 }
 
+bool ClientConnections::has_room_for_reply(ConnectionId id, std::size_t bytes) const {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return true;
+  return found->second.reply_memory.bytes() == 0 ||
+         context_.memory.has_room_for(MemoryUse::client_replies, bytes);
+}
+
 bool ClientConnections::has_open_call(ConnectionId id, CallId call) const {
   const auto found = connections_.find(id);
   return found != connections_.end() && found->second.open_calls.contains(call);
 }
 
+bool ClientConnections::has_open_calls(ConnectionId id) const {
+  const auto found = connections_.find(id);
+  return found != connections_.end() && !found->second.open_calls.empty();
+}
+
 std::vector<std::string> ClientConnections::drain(ConnectionId id, CloseReason reason,
                                                   std::string last_reply) {
   const auto found = connections_.find(id);
@@ -176,9 +193,6 @@
     auto& expired = expiry->mode == CloseMode::drain ? to_drain : to_close;
     expired.emplace_back(id, expiry->reason);
   }
-  if (to_close.empty() && context_.memory.held(MemoryUse::client_replies) > context_.limits.unsent_bytes) {
-    to_close.emplace_back(connection_with_most_unsent(), CloseReason::backlog);
-  }
   for (const auto& [id, reason] : to_drain) drain(id, reason);
   std::vector<std::string> open_requests;
   for (const auto& [id, reason] : to_close) {
@@ -199,7 +213,8 @@
   // Clients that send nothing or an incomplete message must not hold descriptors.
   const bool awaits_message = client.message_started_at.count() != 0 && client.open_calls.empty();
   if (awaits_message && context_.now - client.message_started_at >= kMessageTimeout) {
-    return Expiry{CloseReason::no_message, CloseMode::drain};
+    return Expiry{client.protocol == nullptr ? CloseReason::memory_limit : CloseReason::no_message,
+                  CloseMode::drain};
   }
   if (is_idle(client) && inactive >= kClientIdleTimeout) return Expiry{CloseReason::idle, CloseMode::drain};
   return std::nullopt;
@@ -214,11 +229,64 @@
 ConnectionId ClientConnections::connection_with_most_unsent() const {
   const auto most =
       std::max_element(connections_.begin(), connections_.end(), [](const auto& one, const auto& other) {
-        return one.second.reply_memory.bytes() < other.second.reply_memory.bytes();
+        const auto order = [](const ClientConnection& client) {
+          const std::size_t unsent = client.reply_memory.bytes();
+          return std::pair(unsent > 0 && client.open_calls.empty(), unsent);
+        };
+        return order(one.second) < order(other.second);
       });
   return most->first;
 }
 
+std::vector<std::string> ClientConnections::close_excess_readers() {
+  std::vector<std::string> open_requests;
+  while (context_.memory.is_exceeded(MemoryUse::client_replies)) {
+    for (std::string& request :
+         close(connection_with_most_unsent(), CloseReason::memory_limit, ClosedBy::proxy)) {
+      open_requests.push_back(std::move(request));
+    }
+  }
+  return open_requests;
+}
+
+std::vector<ConnectionId> ClientConnections::with_incomplete_message() const {
+  struct Holder {
+    bool has_requests;
+    double byte_seconds;
+    ConnectionId id;
+  };
+  std::vector<Holder> holders;
+  for (const auto& [id, client] : connections_) {
+    if (client.protocol == nullptr || !client.protocol->has_partial_message()) continue;
+    const std::chrono::duration<double> age = context_.now - client.message_started_at;
+    const auto bytes = static_cast<double>(client.message_memory.bytes());
+    holders.push_back({client.request_count > 0, bytes * age.count(), id});
+  }
+  std::sort(holders.begin(), holders.end(), [](const Holder& one, const Holder& other) {
+    return std::tuple(one.has_requests, -one.byte_seconds, one.id) <
+           std::tuple(other.has_requests, -other.byte_seconds, other.id);
+  });
+  std::vector<ConnectionId> ids;
+  ids.reserve(holders.size());
+  for (const Holder& holder : holders) ids.push_back(holder.id);
+  return ids;
+}
+
+void ClientConnections::stop_reading(ConnectionId id) {
+  ClientConnection& client = connections_.at(id);
+  client.protocol.reset();
+  client.message_memory.set(0);
+  context_.stop_reading(id);
+}
+
+std::vector<std::string> ClientConnections::open_requests(ConnectionId id) const {
+  std::vector<std::string> requests;
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return requests;
+  for (const auto& [call, request] : found->second.open_calls) requests.push_back(request);
+  return requests;
+}
+
 void ClientConnections::drain_quiet() {
   for (const auto& [id, client] : connections_) {
     if (!client.draining_for && is_idle(client) &&
--- a/src/proxy/client/client_connections.h
+++ b/src/proxy/client/client_connections.h
@@ -35,12 +35,29 @@
   void on_write_drained(ConnectionId id);
   /// Whether the client has too many open calls or too many unread bytes for another request to be accepted.
   [[nodiscard]] bool is_backed_up(ConnectionId id) const;
+  /// Whether a reply of this size may be held for the client until it reads it. A client that has read all
+  /// replies may always get one.
+  [[nodiscard]] bool has_room_for_reply(ConnectionId id, std::size_t bytes) const;
+  /// Returns the connections with incomplete messages in the order in which they lose them if they take too
+  /// much memory: those without an accepted request first, and of these the one whose message has taken the
+  /// most memory for the longest time, in byte seconds.
+  [[nodiscard]] std::vector<ConnectionId> with_incomplete_message() const;
+  /// Discards the incomplete message and reads nothing more from the client. The connection ends only when
+  /// the message's time is over, so that clients that connect again and again gain nothing by it. No call may
+  /// be open.
+  void stop_reading(ConnectionId id);
+  /// Returns the requests that are open on the connection.
+  [[nodiscard]] std::vector<std::string> open_requests(ConnectionId id) const;
+  /// Closes clients until the unread replies are within their memory, the one with most unread bytes first,
+  /// but clients without an open call before all others. Returns the requests that were open on them.
+  std::vector<std::string> close_excess_readers();
 
   void add_open_call(ConnectionId id, CallId call, const std::string& request);
   /// Removes an open call and returns the id of its request; empty if there is no such call.
   std::string remove_open_call(ConnectionId id, CallId call);
 
   [[nodiscard]] bool has_open_call(ConnectionId id, CallId call) const;
+  [[nodiscard]] bool has_open_calls(ConnectionId id) const;
   /// Closes a connection in such a way that the client can read everything that was written, including the
   /// last reply. Returns the requests that were open on it. Bytes that still arrive are discarded until the
   /// client closes too: a close with unread bytes would send a reset, which may destroy unread replies.
@@ -69,7 +86,7 @@
         : message_memory(memory, MemoryUse::client_messages),
           reply_memory(memory, MemoryUse::client_replies) {}
 
-    std::unique_ptr<ClientProtocol> protocol;  ///< null while the connection drains
+    std::unique_ptr<ClientProtocol> protocol;  ///< null if nothing more is read
     Time opened_at{0}, active_at{0};
     Time message_started_at{0};  ///< start of the incomplete message, or of the wait for the first; 0: none
     bool has_sent_message = false;  ///< whether a complete message has been received
--- a/src/proxy/client/pending_requests.cpp
+++ b/src/proxy/client/pending_requests.cpp
@@ -150,8 +150,12 @@
   return kPendingRequestBytes + kBodyCopies * request.body.size();
 }
 
+bool PendingRequests::has_room_for(const PendingRequest& request) const {
+  const std::size_t multiple = clients_.has_open_calls(request.client) ? 1 : kFirstRequestMemoryMultiple;
+  return context_.memory.has_room_for(MemoryUse::requests, memory_of(request), multiple);
+}
+
 void PendingRequests::add(PendingRequest request) {
-  body_bytes_ += request.body.size();
   memory_.set(memory_.bytes() + memory_of(request));
   clients_.add_open_call(request.client, request.call_id, request.request.id);
   std::string id = request.request.id;
@@ -171,7 +175,6 @@
 }
 
 void PendingRequests::release(std::map<std::string, PendingRequest>::iterator pending) {
-  body_bytes_ -= pending->second.body.size();
   memory_.set(memory_.bytes() - memory_of(pending->second));
   pending_.erase(pending);
 }
@@ -195,6 +198,11 @@
 }
 
 void PendingRequests::served(const std::string& request, const ServedResponse& response) {
+  const PendingRequest* pending = find(request);
+  if (pending != nullptr && !clients_.has_room_for_reply(pending->client, response.body.size())) {
+    failed(request);
+    return;
+  }
   finish(request, FinalAnswer::served, [&response](ClientProtocol& protocol, CallId call) {
     ClientFields fields;
     if (response.not_modified) fields.emplace_back("unchanged", "1");
--- a/src/proxy/client/pending_requests.h
+++ b/src/proxy/client/pending_requests.h
@@ -60,10 +60,9 @@
   /// shutdown sets one in addition to the client's limit.
   std::optional<PendingRequest> read(ConnectionId client, ObjectRequest& call,
                                      std::optional<Time> answer_deadline) const;
-  /// Whether the body of the request fits into the memory for bodies.
-  [[nodiscard]] bool has_room_for(const PendingRequest& request) const {
-    return body_bytes_ + request.body.size() <= context_.limits.body_bytes;
-  }
+  /// Whether the request fits into the memory for requests. A client without an open request may use more of
+  /// it, so that clients with many requests are rejected before others.
+  [[nodiscard]] bool has_room_for(const PendingRequest& request) const;
   void add(PendingRequest request);
   PendingRequest* find(const std::string& request);
   /// Removes a request without an answer. Returns whether it was pending.
@@ -108,8 +107,7 @@
   ClientConnections& clients_;
   const Settings& settings_;
   std::map<std::string, PendingRequest> pending_;
-  std::size_t body_bytes_ = 0;  // total of all pending requests
-  MemoryCharge memory_;         // of all pending requests
+  MemoryCharge memory_;  // of all pending requests
   std::vector<AnswerCounts> answer_counts_;
 };
 
--- a/src/proxy/client/request_admission.cpp
+++ b/src/proxy/client/request_admission.cpp
@@ -16,7 +16,7 @@
     case RejectionReason::shutting_down:
     case RejectionReason::no_policy_lease:
     case RejectionReason::class_refused_by_policy:
-    case RejectionReason::body_memory_exhausted:
+    case RejectionReason::memory_exhausted:
       break;
   }
   return RejectionReply::try_later;
@@ -32,8 +32,8 @@
       pending_requests.read(client, call, dependencies_.shutdown.answer_deadline());
   if (!request) return RejectionReason::malformed_request;
   if (pending_requests.find(request->request.id) != nullptr) return RejectionReason::duplicate_request_id;
-  // Clients may send bodies faster than they can be forwarded, which must not exhaust the memory.
-  if (!pending_requests.has_room_for(*request)) return RejectionReason::body_memory_exhausted;
+  // Clients may send requests faster than they can be forwarded, which must not exhaust the memory.
+  if (!pending_requests.has_room_for(*request)) return RejectionReason::memory_exhausted;
   return std::move(*request);
 }
 
--- a/src/proxy/client/request_admission.h
+++ b/src/proxy/client/request_admission.h
@@ -25,7 +25,7 @@
   class_refused_by_policy,  ///< the policy in force rejects all requests of this class
   malformed_request,        ///< a field is missing, malformed or out of bounds
   duplicate_request_id,     ///< a request with this id is pending
-  body_memory_exhausted     ///< the bodies of pending requests have reached their limit
+  memory_exhausted          ///< pending requests have reached their share of the memory
 };
 
 /// The reply by which the client learns of a rejection.
--- a/src/proxy/close_reason.cpp
+++ b/src/proxy/close_reason.cpp
@@ -35,6 +35,8 @@
       return "stalled";
     case CloseReason::backlog:
       return "backlog";
+    case CloseReason::memory_limit:
+      return "memory_limit";
     case CloseReason::too_many:
       return "too_many";
     case CloseReason::stopping:
--- a/src/proxy/close_reason.h
+++ b/src/proxy/close_reason.h
@@ -26,6 +26,7 @@
   silent,
   stalled,
   backlog,
+  memory_limit,
   too_many,
   stopping
 };
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -22,6 +22,8 @@
 
 void Context::shutdown_write(ConnectionId connection) { effects.emplace_back(ShutdownWrite{connection}); }
 
+void Context::stop_reading(ConnectionId connection) { effects.emplace_back(StopReading{connection}); }
+
 void Context::log_closed(const ConnectionRecord& record, CloseReason reason, ClosedBy closed_by) {
   --open_connections;
   if (closed_by == ClosedBy::proxy) close(record.id);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -86,6 +86,7 @@
   void close(ConnectionId connection);
   void drain_and_close(ConnectionId connection);
   void shutdown_write(ConnectionId connection);
+  void stop_reading(ConnectionId connection);
   /// Closes a connection, unless the peer has already closed it, and logs the reason.
   void log_closed(const ConnectionRecord& record, CloseReason reason, ClosedBy closed_by);
   void log_closed(const ConnectionRecord& record, CloseReason reason, bool close_connection) {
--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -45,7 +45,7 @@
   is_connected_ = has_data_ = false;
   opened_at_ = last_byte_at_ = last_line_at_ = context_.now;
   event_count_ = 0;
-  reader_ = {};
+  reader_ = codec::EventStreamReader(context_.limits.discovery_event_bytes);
 }
 
 void DiscoveryClient::on_connected() {
--- a/src/proxy/discovery/discovery_handler.cpp
+++ b/src/proxy/discovery/discovery_handler.cpp
@@ -47,7 +47,10 @@
   has_complete_list_ = has_complete_list_ || update.is_complete;
   context.log("list no=" + std::to_string(event_number) + " complete=" + (update.is_complete ? "1" : "0") +
               " members=" + std::to_string(update.endpoints.size()));
-  publish(dependencies_.endpoints.apply(update, context.now), list_kind_of(update, source));
+  const codec::EndpointUpdate effective =
+      dependencies_.endpoints.apply(update, context.now, context.limits.max_endpoints);
+  if (effective.endpoints.size() < update.endpoints.size()) context.log("list too long, endpoints ignored");
+  publish(effective, list_kind_of(update, source));
 }
 
 void DiscoveryHandler::apply(const codec::Invalidation& invalidation) {
--- a/src/proxy/effects.h
+++ b/src/proxy/effects.h
@@ -28,6 +28,10 @@
 struct ShutdownWrite {
   ConnectionId connection = 0;
 };
+/// Reads nothing more from a client's connection; its end is still reported.
+struct StopReading {
+  ConnectionId connection = 0;
+};
 /// Closes a connection; no input about it follows. Closing the listener ends the program after the last
 /// connection has closed.
 struct Close {
@@ -81,8 +85,8 @@
                consensus::RaftMessage, BootstrapReceived, VoterChangeCall>
       effect;
 };
-using Effect =
-    std::variant<Write, Connect, ShutdownWrite, Close, DrainAndClose, ArmTimer, LogLine, StopAccepting,
-                 PersistOverrides, MembershipEffect, PersistMembership, StopMembership, ConsensusEffect>;
+using Effect = std::variant<Write, Connect, ShutdownWrite, StopReading, Close, DrainAndClose, ArmTimer,
+                            LogLine, StopAccepting, PersistOverrides, MembershipEffect, PersistMembership,
+                            StopMembership, ConsensusEffect>;
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/local_cache.cpp
+++ b/src/proxy/local_cache.cpp
@@ -105,10 +105,16 @@
   if (cached != by_key_.end()) erase(cached->second);
   lru_.push_front({key, group, response.body, std::string(*entity_tag), *created_at});
   by_key_[key] = lru_.begin();
-  bytes_ += response.body.size();
+  bytes_ += size_of(lru_.front());
   evict();
 }
 
+/// Memory of a copy with its entries in both tables, in bytes.
+std::size_t LocalCache::size_of(const CachedCopy& copy) {
+  constexpr std::size_t kEntryBytes = 256;
+  return kEntryBytes + copy.body.size() + copy.entity_tag.size();
+}
+
 /// A body that was corrupted in transit can't be recognized, but is unlikely to arrive twice with the same
 /// corruption. Caching only repeated responses keeps a corrupted body from being served again and again.
 bool LocalCache::was_seen_before(const Key& key, std::uint64_t fingerprint) {
@@ -141,7 +147,7 @@
 }
 
 void LocalCache::erase(LruList::iterator copy) {
-  bytes_ -= copy->body.size();
+  bytes_ -= size_of(*copy);
   by_key_.erase(copy->key);
   lru_.erase(copy);
 }
--- a/src/proxy/local_cache.h
+++ b/src/proxy/local_cache.h
@@ -75,6 +75,7 @@
   [[nodiscard]] bool is_invalidated_since(Time created_at, const Key& key, std::int64_t group) const;
   /// Returns whether the same response has arrived before; if not, remembers it.
   bool was_seen_before(const Key& key, std::uint64_t fingerprint);
+  [[nodiscard]] static std::size_t size_of(const CachedCopy& copy);
   void erase(LruList::iterator copy);
   void evict();
 
--- a/src/proxy/memory_account.h
+++ b/src/proxy/memory_account.h
@@ -19,9 +19,10 @@
   requests,            ///< accepted requests, and their bodies until an endpoint has read them
   client_replies,      ///< replies that clients have not read
   endpoint_responses,  ///< incomplete responses of endpoints
-  admin_calls          ///< incomplete calls of operators, and replies to them
+  admin_calls,         ///< incomplete calls of operators, and replies to them
+  endpoints            ///< the endpoint list, in all tables
 };
-constexpr std::size_t kMemoryUseCount = 5;
+constexpr std::size_t kMemoryUseCount = 6;
 
 /// Returns the name of the use in the log.
 [[nodiscard]] std::string_view name_of(MemoryUse use);
@@ -42,9 +43,9 @@
   /// Returns how much this use may hold while the other uses hold what they do now.
   [[nodiscard]] std::size_t allowance(MemoryUse use) const { return allowance_of(use, total_); }
   [[nodiscard]] bool is_exceeded(MemoryUse use) const { return held(use) > allowance(use); }
-  /// Whether the use stays within its allowance if it holds `bytes` more.
-  [[nodiscard]] bool has_room_for(MemoryUse use, std::size_t bytes) const {
-    return held(use) + bytes <= allowance_of(use, total_ + bytes);
+  /// Whether the use stays within `multiple` times its allowance if it holds `bytes` more.
+  [[nodiscard]] bool has_room_for(MemoryUse use, std::size_t bytes, std::size_t multiple = 1) const {
+    return held(use) + bytes <= multiple * allowance_of(use, total_ + bytes);
   }
 
  private:
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -31,6 +31,8 @@
 /// Interval between searches for connections whose time limits have passed.
 constexpr Time kSweepInterval = 100ms;
 constexpr Time kStatsInterval = 1s;
+/// Timers of ended requests that may be kept until they are due.
+constexpr std::size_t kMaxStaleTimers = 1024;
 
 GracefulShutdown::AdminListener admin_listener_of(const config::Config& config) {
   return config.admin_address.empty() ? GracefulShutdown::AdminListener::absent
@@ -66,8 +68,8 @@
                   admin_listener_of(config)),
         readiness_(discovery_handler_, shutdown_, policy_),
         admission_({client_connections_, pending_requests_, policy_, shutdown_}),
-        client_calls_(
-            {client_connections_, pending_requests_, admission_, dispatcher_, readiness_, stats_log_}),
+        client_calls_({client_connections_, pending_requests_, admission_, dispatcher_, readiness_,
+                       stats_log_, context_.memory}),
         admin_handler_({context_, admin_connections_, pending_requests_, upstream_pool_, router_,
                         endpoint_directory_, membership_, policy_}) {
     context_.now = now;
@@ -93,6 +95,7 @@
     // The input is applied before expired timers: it may be an invalidation or a client's disconnect.
     std::visit([this](const auto& typed_input) { handle(typed_input); }, input);
     run_timers();
+    shed_excess_memory();
     membership_.run_timers();
     run_policy();
     apply_changed_quota();
@@ -129,7 +132,7 @@
         dispatcher_.notify_router(TimerFired{timer.router_token});
         break;
       case TimerKind::request_expired:
-        dispatcher_.expire(timer.request);
+        dispatcher_.fail(timer.request);
         break;
       case TimerKind::attempt_timeout:
         upstream_pool_.time_out_attempt(timer.request, timer.attempt);
@@ -167,6 +170,28 @@
     context_.timers.add(context_.now + kSweepInterval, Timer::of(TimerKind::sweep));
   }
 
+  /// Keeps the memory that peers make the process hold within its limit. Each use is brought within its
+  /// allowance: operators first, then clients with incomplete messages, endpoints with incomplete responses,
+  /// and last the clients that do not read.
+  void shed_excess_memory() {
+    drop_stale_timers();
+    admin_connections_.shed_excess_memory();
+    client_calls_.shed_excess_memory();
+    upstream_pool_.shed_excess_memory();
+  }
+
+  /// Timers of requests that have ended would otherwise stay until their due times. Clients that send and
+  /// withdraw requests at full speed would make them use up the memory.
+  void drop_stale_timers() {
+    const std::size_t live = pending_requests_.open_count() + upstream_pool_.attempts_in_flight();
+    if (context_.timers.size() <= kMaxStaleTimers + 2 * live) return;
+    context_.timers.erase_if([this](const Timer& timer) {
+      if (timer.kind == TimerKind::request_expired) return pending_requests_.find(timer.request) == nullptr;
+      return timer.kind == TimerKind::attempt_timeout &&
+             !upstream_pool_.has_attempt({timer.request, timer.attempt});
+    });
+  }
+
   void log_stats() {
     StatsLog::Gauges gauges;
     gauges.pending_requests = pending_requests_.open_count();
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -56,7 +56,7 @@
   report_completions();
 }
 
-void RequestDispatcher::expire(const std::string& request) {
+void RequestDispatcher::fail(const std::string& request) {
   const PendingRequest* pending = dependencies_.pending_requests.find(request);
   if (pending == nullptr) return;
   const int attempt_count = pending->attempt_count;
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -45,8 +45,8 @@
   /// Cancels a request for which the client no longer waits; it gets no answer.
   void cancel(const std::string& request);
   /// Fails a request whose deadline has passed, so that each request gets a final answer even if the router
-  /// has not given one.
-  void expire(const std::string& request);
+  /// has not given one, or whose client is about to be disconnected.
+  void fail(const std::string& request);
 
  private:
   void report(const AttemptCompletion& completion);
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -83,8 +83,8 @@
 /// Maximum number of ready sockets fetched from the system at once.
 constexpr int kMaxReadyEvents = 1024;
 constexpr int kListenBacklog = 512;
-/// Capacity of the write buffer that a connection retains after everything is sent.
-constexpr std::size_t kRetainedWriteBufferBytes = 16 * 1024;
+/// Small writes to a connection that is not writable are joined up to this size.
+constexpr std::size_t kCoalescedWriteBytes = 16 * 1024;
 /// Maximum number of log lines per second about failed attempts.
 constexpr int kMaxFailedAttemptLinesPerSecond = 16;
 /// Maximum size of the log lines that are buffered while standard output is blocked.
@@ -112,8 +112,9 @@
 //   memory held on behalf of all other peers (proxy/memory_account.h)   the remainder
 // The allocator takes 1 / kAllocatorOverheadDivisor of the local cache and of the remainder on top.
 
-/// Memory of the program, GLib, the log and the learnt values without any peer, in bytes.
-constexpr std::size_t kProcessBytes = 7 * 512 * 1024;
+/// Memory of the program, GLib, the log and the learnt values, most of it for the counts of popular objects,
+/// in bytes.
+constexpr std::size_t kProcessBytes = std::size_t{7} * 1024 * 1024;
 /// Memory of the objects of one connection without buffers, in bytes.
 constexpr std::size_t kDescriptorBytes = 1536;
 /// A discovery event may take 1 / this of the memory limit.
@@ -124,11 +125,18 @@
 constexpr std::size_t kDiscoveryEventCopies = 5;
 /// The buffers of all full-sync streams may take 1 / this of the memory limit.
 constexpr std::size_t kMemberStreamMemoryDivisor = 16;
-constexpr std::size_t kAllocatorOverheadDivisor = 5;
+constexpr std::size_t kAllocatorOverheadDivisor = 8;
 /// Memory of an accepted request without its body, in bytes: its fields, attempts and timers.
 constexpr std::size_t kPendingRequestBytes = 3 * 1024;
 /// Bodies are held twice: for a retry, and by the attempt that waits for a connection.
 constexpr std::size_t kBodyCopies = 2;
+/// The first request of a client may use this many times the memory that further ones may.
+constexpr std::size_t kFirstRequestMemoryMultiple = 2;
+
+/// Memory of one endpoint in all tables, in bytes.
+constexpr std::size_t kEndpointBytes = 1280;
+/// The endpoint list may take 1 / this of the memory limit.
+constexpr std::size_t kEndpointMemoryDivisor = 4;
 
 /// Returns the largest discovery event that is accepted at this memory limit, in bytes.
 constexpr std::size_t max_discovery_event_bytes(std::size_t memory_bytes) {
@@ -164,15 +172,15 @@
 /// Each kind of connection has its own share of the descriptors, so that no kind can exhaust those of another
 /// and the total stays within the limit.
 struct ResourceLimits {
-  int descriptors = 0;                ///< limit for the whole process
-  int client_connections = 0;         ///< connections of clients: half of the descriptors
-  int draining_connections = 0;       ///< further client connections, open until the replies are read
-  int admin_connections = 0;          ///< connections at the admin address
-  int upstream_connections = 0;       ///< connections to caches: a third of the descriptors, or the remainder
-  Time unread_timeout{0};             ///< no client waits longer for an answer
-  std::size_t peer_memory_bytes = 0;  ///< memory held on behalf of peers, all together
-  std::size_t body_bytes = 0;         ///< total size of the bodies of pending requests
-  std::size_t unsent_bytes = 0;       ///< unread replies of all clients
+  int descriptors = 0;            ///< limit for the whole process
+  int client_connections = 0;     ///< connections of clients: half of the descriptors
+  int draining_connections = 0;   ///< further client connections, open until the replies are read
+  int admin_connections = 0;      ///< connections at the admin address
+  int upstream_connections = 0;   ///< connections to caches: a third of the descriptors, or the remainder
+  Time unread_timeout{0};         ///< no client waits longer for an answer
+  std::size_t max_endpoints = 0;  ///< listed endpoints; further ones are ignored
+  std::size_t discovery_event_bytes = 0;  ///< largest event of the discovery service
+  std::size_t peer_memory_bytes = 0;      ///< memory held on behalf of peers, all together
   /// Unread replies of one client above which its new requests are rejected at once.
   std::size_t reject_unsent_bytes = 0;
   /// Unread replies of one client above which it is disconnected.
@@ -189,11 +197,11 @@
                          kReservedDescriptors -
                          (config.membership ? config.membership->max_streams + kMembershipDescriptors : 0))),
         unread_timeout(longest_deadline(config.settings)),
+        max_endpoints(config.memory_bytes / kEndpointMemoryDivisor / kEndpointBytes),
+        discovery_event_bytes(max_discovery_event_bytes(config.memory_bytes)),
         peer_memory_bytes(proxy::peer_memory_bytes(config.memory_bytes,
                                                    static_cast<std::size_t>(config.max_descriptors),
                                                    config.membership.has_value())),
-        body_bytes(config.memory_bytes / 8),
-        unsent_bytes(config.memory_bytes / 5),
         reject_unsent_bytes(std::min<std::size_t>(2 * 1024 * 1024, config.memory_bytes / 16)),
         disconnect_unsent_bytes(std::min<std::size_t>(9 * 1024 * 1024, config.memory_bytes / 8)) {}
 };
--- a/src/proxy/upstream/endpoint_directory.cpp
+++ b/src/proxy/upstream/endpoint_directory.cpp
@@ -33,7 +33,8 @@
   return effective;
 }
 
-codec::EndpointUpdate EndpointDirectory::apply(const codec::EndpointUpdate& update, Time now) {
+codec::EndpointUpdate EndpointDirectory::apply(const codec::EndpointUpdate& update, Time now,
+                                               std::size_t max_endpoints) {
   if (update.is_complete) {
     for (const auto& [id, listed] : std::exchange(endpoints_, {})) remember_removed(id);
   }
@@ -41,6 +42,7 @@
   for (const codec::ListedEndpoint& changed : update.endpoints) {
     codec::ListedEndpoint listed = changed;
     const auto before = endpoints_.find(changed.endpoint.id);
+    if (before == endpoints_.end() && endpoints_.size() >= max_endpoints) continue;
     if (listed.address.empty() && before != endpoints_.end()) listed.address = before->second.address;
     store(listed);
     effective_update.endpoints.push_back(effective(listed));
--- a/src/proxy/upstream/endpoint_directory.h
+++ b/src/proxy/upstream/endpoint_directory.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,8 +21,10 @@
 /// notify all parts of them.
 class EndpointDirectory {
  public:
-  /// Applies an update from the discovery service and returns it with the overrides applied.
-  codec::EndpointUpdate apply(const codec::EndpointUpdate& update, Time now);
+  /// Applies an update from the discovery service and returns it with the overrides applied. New endpoints
+  /// beyond `max_endpoints` are ignored.
+  codec::EndpointUpdate apply(const codec::EndpointUpdate& update, Time now,
+                              std::size_t max_endpoints = std::numeric_limits<std::size_t>::max());
 
   /// Suspends or resumes the endpoint by an admin override. Returns none if no such endpoint is known or, for
   /// suspend(), if there are kMaxOverrides overrides already.
--- a/src/proxy/upstream/upstream_connection.cpp
+++ b/src/proxy/upstream/upstream_connection.cpp
@@ -114,15 +114,22 @@
 void UpstreamConnection::on_bytes(std::string_view bytes, Time now) {
   last_received_at_ = last_active_at_ = now;
   unanswered_count_ = 0;
+  if (!reader_.has_partial_response()) response_started_at_ = now;
   reader_.feed(bytes);
 }
 
 std::optional<codec::CacheResponse> UpstreamConnection::next_response() {
   std::optional<codec::CacheResponse> response = reader_.next();
   response_memory_.set(reader_.buffered_bytes());
+  if (response) response_started_at_ = last_received_at_;
   return response;
 }
 
+bool UpstreamConnection::is_partial_response_awaited() const {
+  const std::string_view id = reader_.partial_response_id();
+  return id.empty() ? !open_attempts_.empty() : open_attempts_.contains(std::string(id));
+}
+
 void UpstreamConnection::forget_expired_uses(Time now) {
   std::erase_if(used_by_, [now](const auto& use) { return use.second <= now; });
 }
--- a/src/proxy/upstream/upstream_connection.h
+++ b/src/proxy/upstream/upstream_connection.h
@@ -99,6 +99,12 @@
   void on_connected(Time now);
   void on_bytes(std::string_view bytes, Time now);
   [[nodiscard]] std::optional<codec::CacheResponse> next_response();
+  /// Whether an incomplete response has been received.
+  [[nodiscard]] bool has_partial_response() const { return reader_.has_partial_response(); }
+  /// Whether an attempt waits for the incomplete response.
+  [[nodiscard]] bool is_partial_response_awaited() const;
+  /// Returns when the first byte of the incomplete response arrived.
+  [[nodiscard]] Time response_started_at() const { return response_started_at_; }
   [[nodiscard]] codec::LineError read_error() const { return reader_.error(); }
   /// Restarts the silence timeout after an event loop stall, since bytes that arrived during it are unread.
   void on_loop_stall(Time now) { last_received_at_ = now; }
@@ -123,6 +129,7 @@
   std::uint64_t request_count_ = 0;
   int unanswered_count_ = 0;  // attempts abandoned since the last received byte
   codec::CacheResponseReader reader_;
+  Time response_started_at_{0};
   MemoryCharge response_memory_;              // the incomplete response
   MemoryCharge write_memory_;                 // the bytes that are being written
   std::map<std::string, int> open_attempts_;  // attempt numbers by request
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -46,6 +46,7 @@
       max_requests_per_connection_(static_cast<std::size_t>(config.requests_per_connection)),
       supports_cancel_(config.settings.cancellation),
       is_pending_(std::move(is_pending)),
+      endpoint_memory_(context.memory, MemoryUse::endpoints),
       written_by_class_(config.settings.classes.size()) {}
 
 // ---- Endpoints ----
@@ -65,6 +66,7 @@
   }
   // The connections of removed endpoints are closed or being drained, and all attempts on them end with them.
   endpoints_.erase_removed();
+  endpoint_memory_.set(endpoints_.size() * kEndpointBytes);
 }
 
 /// Closes the connections to an endpoint whose process is gone or was replaced. The list is read before other
@@ -411,6 +413,33 @@
   return std::nullopt;
 }
 
+std::vector<ConnectionId> UpstreamPool::with_partial_response() const {
+  struct Holder {
+    bool is_awaited;
+    Time started_at;
+    ConnectionId id;
+    auto operator<=>(const Holder&) const = default;
+  };
+  std::vector<Holder> holders;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.has_partial_response()) continue;
+    holders.push_back({connection.is_partial_response_awaited(), connection.response_started_at(), id});
+  }
+  std::sort(holders.begin(), holders.end());
+  std::vector<ConnectionId> ids;
+  ids.reserve(holders.size());
+  for (const Holder& holder : holders) ids.push_back(holder.id);
+  return ids;
+}
+
+void UpstreamPool::shed_excess_memory() {
+  if (!context_.memory.is_exceeded(MemoryUse::endpoint_responses)) return;
+  for (const ConnectionId id : with_partial_response()) {
+    if (!context_.memory.is_exceeded(MemoryUse::endpoint_responses)) return;
+    close(id, CloseReason::memory_limit, ClosedBy::proxy);
+  }
+}
+
 std::vector<ConnectionId> UpstreamPool::connection_ids() const {
   std::vector<ConnectionId> ids;
   ids.reserve(connections_.size());
--- a/src/proxy/upstream/upstream_pool.h
+++ b/src/proxy/upstream/upstream_pool.h
@@ -42,6 +42,8 @@
   void start_attempt(UpstreamRequest request);
   void cancel_attempt(const std::string& request, int number);
   void time_out_attempt(const std::string& request, int number);
+  /// Whether the attempt has not ended.
+  [[nodiscard]] bool has_attempt(const AttemptKey& key) const { return attempts_.find(key) != nullptr; }
   /// Sends a health check; its result is an immediate failure if it can't be sent.
   void check_health(const std::string& endpoint);
   /// Removes the oldest completion; returns false if there is none.
@@ -67,6 +69,9 @@
   void on_connect_timeout(ConnectionId connection);
   /// Fails the health checks that have timed out, and closes idle and silent connections.
   void close_expired();
+  /// Closes connections until the incomplete responses are within their memory: those whose response no
+  /// attempt waits for, then those with the longest incomplete response.
+  void shed_excess_memory();
   /// Closes all connections.
   void stop();
 
@@ -97,6 +102,7 @@
   ConnectionId open_connection(EndpointTable::Entry& endpoint);
   bool close_longest_idle();
   [[nodiscard]] std::vector<ConnectionId> connection_ids() const;
+  [[nodiscard]] std::vector<ConnectionId> with_partial_response() const;
   void write_next(ConnectionId id);
   [[nodiscard]] std::string take_attempt_bytes(UpstreamConnection& connection);
   void on_response(UpstreamConnection& connection, codec::CacheResponse response);
@@ -111,6 +117,7 @@
   bool supports_cancel_;  // the endpoints accept cancel commands
   std::function<bool(const std::string&)> is_pending_;
   EndpointTable endpoints_;
+  MemoryCharge endpoint_memory_;
   UpstreamConnections connections_;
   AttemptTable attempts_;
   HealthCheckResults health_checks_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -50,6 +50,9 @@
 constexpr std::size_t kLocalCopyMaxCount = 2;  // parts requested more often are in the caches
 
 constexpr std::int64_t kWakeUpTimerToken = 1;
+// Timers that are kept for ended requests: a fixed number, and a multiple of the pending requests.
+constexpr std::size_t kMaxStaleTimers = 1024;
+constexpr std::size_t kMaxTimersPerRequest = 6;
 
 enum class TimerKind { hedge, latency_objective, deadline, periodic_update, subscribe };
 struct Timer {
@@ -97,6 +100,7 @@
   void start();
   void run_timers();
   void run_timer(const Timer& timer);
+  void drop_stale_timers();
   void schedule_wake_up();
   void run_periodic_update();
 
@@ -214,6 +218,15 @@
   }
 }
 
+/// Timers of ended requests stay until they are due, which takes a client no effort to exploit: it sends and
+/// cancels requests at full speed.
+void Router::Impl::drop_stale_timers() {
+  if (timers_.size() <= kMaxStaleTimers + kMaxTimersPerRequest * pending_.size()) return;
+  timers_.erase_if([this](const Timer& timer) {
+    return !timer.request_id.empty() && !pending_.contains(timer.request_id);
+  });
+}
+
 void Router::Impl::schedule_wake_up() {
   const auto due = timers_.next_due();
   if (!due || (wake_up_at_ > now_ && wake_up_at_ <= *due)) return;
@@ -253,6 +266,7 @@
     actions_.emplace_back(ServeFromLocalCache{request.id});
     return;
   }
+  drop_stale_timers();
   fill_policy_.record_request(arrived);
   retry_budget_.record_request();
   timers_.add(request.expires - settings_.tick, {TimerKind::deadline, request.id});
--- a/tests/golden/proxy_trace.cpp
+++ b/tests/golden/proxy_trace.cpp
@@ -448,6 +448,9 @@
 std::string effect_text(const proxy::ArmTimer& effect) {
   return RecordLine("set_timer").add("at", effect.at).text();
 }
+std::string effect_text(const proxy::StopReading& effect) {
+  return RecordLine("stop_reading").add("connection", effect.connection).text();
+}
 std::string effect_text(const proxy::LogLine&) { return {}; }
 std::string effect_text(const proxy::StopAccepting&) { return "stop_accepting"; }
 std::string effect_text(const proxy::PersistOverrides& effect) {
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -211,17 +211,13 @@
     int number = 0;
     if (word == "giveUp" || word == "probe" || word == "dance") {
       input >> number;
-      const std::string argument =
-          word == "giveUp" ? std::string("\x08\0\1", 3) + u32_bytes(static_cast<std::uint32_t>(number)) : "";
-      send_or_cork(peer, thrift_message(word == "giveUp" ? 4 : 1, word, number, argument));
+      send_or_cork(peer, word == "giveUp" ? cancel_message(number) : thrift_message(1, word, number, ""));
       return;
     }
     std::string verb, body;
     number = std::stoi(word);
     input >> verb;
-    Values fields{{"verb", verb},    {"txn", hex_id(number)}, {"item", hex_id(number)},
-                  {"limit", "2500"}, {"piece", "3"},          {"lot", "17"},
-                  {"ram", "40"}};
+    Values fields = request_fields(number, verb);
     for (std::string field; input >> field;) {
       const std::size_t equals = field.find('=');
       if (field[0] == '!') {
@@ -232,11 +228,7 @@
         fields[field.substr(0, equals)] = field.substr(equals + 1);
       }
     }
-    std::string map =
-        std::string("\x0d\0\1\x0b\x0b", 5) + u32_bytes(static_cast<std::uint32_t>(fields.size()));
-    for (const auto& [name, value] : fields) map += length_prefixed(name) + length_prefixed(value);
-    send_or_cork(
-        peer, thrift_message(1, "process", number, map + std::string("\x0b\0\2", 3) + length_prefixed(body)));
+    send_or_cork(peer, request_message(number, fields, body));
   }
 
   /// Splits the bytes that the peer has received into messages.
@@ -389,6 +381,28 @@
          R"(","size":4,"up_since_ms":)" + std::to_string(up_since_ms) + "}";
 }
 
+std::map<std::string, std::string> request_fields(int number, const std::string& request_class) {
+  return {{"verb", request_class},
+          {"txn", hex_id(number)},
+          {"item", hex_id(number)},
+          {"limit", "2500"},
+          {"piece", "3"},
+          {"lot", "17"},
+          {"ram", "40"}};
+}
+
+std::string request_message(int number, const std::map<std::string, std::string>& fields,
+                            const std::string& body) {
+  std::string map = std::string("\x0d\0\1\x0b\x0b", 5) + u32_bytes(static_cast<std::uint32_t>(fields.size()));
+  for (const auto& [name, value] : fields) map += length_prefixed(name) + length_prefixed(value);
+  return thrift_message(1, "process", number, map + std::string("\x0b\0\2", 3) + length_prefixed(body));
+}
+
+std::string cancel_message(int number) {
+  return thrift_message(4, "giveUp", number,
+                        std::string("\x08\0\1", 3) + u32_bytes(static_cast<std::uint32_t>(number)));
+}
+
 std::string config_text(const std::vector<std::string>& members,
                         const std::map<std::string, std::string>& addresses, int memory_mb) {
   const auto address = [&addresses](const std::string& name) -> std::string {
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -89,6 +89,14 @@
 /// Runs a scenario. An expectation that is not met is a GoogleTest failure that names the line.
 void run_scenario(ProxyHarness& harness, const std::string& scenario);
 
+/// Returns the fields of a request as a scenario sends it; its ids are derived from `number`.
+std::map<std::string, std::string> request_fields(int number, const std::string& request_class);
+/// Returns the bytes of a client's request with `number` as its sequence id.
+std::string request_message(int number, const std::map<std::string, std::string>& fields,
+                            const std::string& body = {});
+/// Returns the bytes with which a client cancels its request with that sequence id.
+std::string cancel_message(int number);
+
 /// Returns the text of a configuration whose members `box...` are caches, `up...` parents and `main` the
 /// origin. The address of a name is `name:1` unless `addresses` contains it.
 std::string config_text(const std::vector<std::string>& members,
--- a/tests/support/started_program.cpp
+++ b/tests/support/started_program.cpp
@@ -17,6 +17,7 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include "support/loopback.h"
@@ -196,6 +197,17 @@
   return std::chrono::milliseconds((user + system) * 1000 / sysconf(_SC_CLK_TCK));
 }
 
+int StartedProgram::port(const std::string& peer) const { return port_of(addresses_.at(peer)); }
+
+std::size_t StartedProgram::anonymous_memory() const {
+  constexpr std::string_view kName = "RssAnon:";
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(kName)) return std::stoul(line.substr(kName.size())) * 1024;
+  }
+  return 0;
+}
+
 std::size_t StartedProgram::open_descriptor_count() const {
   const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd");
   return static_cast<std::size_t>(std::count_if(begin(entries), end(entries), [this](const auto& entry) {
--- a/tests/support/started_program.h
+++ b/tests/support/started_program.h
@@ -45,6 +45,10 @@
   void read_bytes(const std::string& peer, std::size_t bytes);
   /// The CPU time that the process has used so far.
   [[nodiscard]] std::chrono::milliseconds cpu_time() const;
+  /// The port on which a peer of that name is reached: "edge", "admin", a member or a discovery service.
+  [[nodiscard]] int port(const std::string& peer) const;
+  /// The memory of the process that holds no page of a file, in bytes; 0 if the process has ended.
+  [[nodiscard]] std::size_t anonymous_memory() const;
   /// The number of descriptors that the process has open and that count against its limit.
   [[nodiscard]] std::size_t open_descriptor_count() const;
   /// Sends a signal to the process.
--- a/tests/support/virtual_time_harness.h
+++ b/tests/support/virtual_time_harness.h
@@ -195,6 +195,7 @@
     remove(shutdown.connection);
     resulting_inputs.emplace_back(proxy::ConnectionClosed{shutdown.connection});
   }
+  void perform(const proxy::StopReading&, Inputs&) {}
   void perform(const proxy::Close& close, Inputs&) {
     if (close.connection == proxy::kListener) is_listening_ = false;
     remove(close.connection);
