Keep no id in a free entry of the router's endpoint table

Cause: `free_if_unused()` left the id in the freed entry. An endpoint listed again in another place was then dropped from the index, and the old place was freed a second time; later changes did not reach the entry in use, and slow start limited a second entry only.

Evidence: the line `load` got `believed_members`.

Change: a freed entry is cleared and marked. The same cause beside it: timers and open attempts outlived their request, so that a client using an id again could get the earlier request's response; ids are rejected while an attempt is open, and timers tell the requests apart. A name that comes and goes no longer displaces all others that operators may suspend.

--- a/include/edge_proxy/router.h
+++ b/include/edge_proxy/router.h
@@ -320,6 +320,9 @@
     std::size_t table_entries = 0;  ///< entries of all tables without a fixed bound
   };
   [[nodiscard]] Stats stats() const;
+  /// Whether a request with this id is unfinished or has an attempt without an Outcome. Until then, no other
+  /// request may have the id.
+  [[nodiscard]] bool has_request(const std::string& id) const;
 
  private:
   class Impl;
--- a/src/proxy/admin/stats_log.cpp
+++ b/src/proxy/admin/stats_log.cpp
@@ -52,6 +52,7 @@
       " out=" + std::to_string(gauges.attempts_in_flight) +
       " believed_out=" + std::to_string(router.in_flight) + " shut=" + std::to_string(router.ejected) +
       " members=" + std::to_string(gauges.endpoints) +
+      " believed_members=" + std::to_string(router.endpoints) +
       " kept=" + std::to_string(router.table_entries + gauges.table_entries) +
       " sockets=" + std::to_string(gauges.connections));
 }
--- a/src/proxy/client/request_admission.cpp
+++ b/src/proxy/client/request_admission.cpp
@@ -31,12 +31,18 @@
   std::optional<PendingRequest> request =
       pending_requests.read(client, call, dependencies_.shutdown.answer_deadline());
   if (!request) return RejectionReason::malformed_request;
-  if (pending_requests.find(request->request.id) != nullptr) return RejectionReason::duplicate_request_id;
+  if (is_id_in_use(request->request.id)) return RejectionReason::duplicate_request_id;
   // Clients may send requests faster than they can be forwarded, which must not exhaust the memory.
   if (!pending_requests.has_room_for(*request)) return RejectionReason::memory_exhausted;
   return std::move(*request);
 }
 
+/// An attempt of a request that its client has cancelled may still be open. Its response would otherwise be
+/// taken for the answer to a new request with the same id.
+bool RequestAdmission::is_id_in_use(const std::string& id) const {
+  return dependencies_.pending_requests.find(id) != nullptr || dependencies_.router.has_request(id);
+}
+
 std::optional<RejectionReason> RequestAdmission::check_connection(ConnectionId client,
                                                                   const ObjectRequest& call) const {
   if (dependencies_.clients.has_open_call(client, call.id)) return RejectionReason::duplicate_call_id;
--- a/src/proxy/client/request_admission.h
+++ b/src/proxy/client/request_admission.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <variant>
 
+#include "edge_proxy/router.h"
 #include "proxy/client/client_connections.h"
 #include "proxy/client/pending_requests.h"
 #include "proxy/cluster/policy_controller.h"
@@ -24,7 +25,7 @@
   no_policy_lease,          ///< the proxy holds no lease on the active policy epoch
   class_refused_by_policy,  ///< the policy in force rejects all requests of this class
   malformed_request,        ///< a field is missing, malformed or out of bounds
-  duplicate_request_id,     ///< a request with this id is pending
+  duplicate_request_id,     ///< a request with this id is pending, or an attempt of it has not ended
   memory_exhausted          ///< pending requests have reached their share of the memory
 };
 
@@ -46,6 +47,7 @@
     PendingRequests& pending_requests;
     PolicyController& policy;
     const GracefulShutdown& shutdown;
+    const Router& router;
   };
   explicit RequestAdmission(const Dependencies& dependencies) : dependencies_(dependencies) {}
 
@@ -59,6 +61,7 @@
  private:
   [[nodiscard]] std::optional<RejectionReason> check_connection(ConnectionId client,
                                                                 const ObjectRequest& call) const;
+  [[nodiscard]] bool is_id_in_use(const std::string& id) const;
   [[nodiscard]] std::optional<RejectionReason> check_policy(const ObjectRequest& call);
 
   Dependencies dependencies_;
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -67,7 +67,7 @@
                    admin_connections_, discovery_client_, membership_},
                   admin_listener_of(config)),
         readiness_(discovery_handler_, shutdown_, policy_),
-        admission_({client_connections_, pending_requests_, policy_, shutdown_}),
+        admission_({client_connections_, pending_requests_, policy_, shutdown_, router_}),
         client_calls_({client_connections_, pending_requests_, admission_, dispatcher_, readiness_,
                        stats_log_, context_.memory}),
         admin_handler_({context_, admin_connections_, pending_requests_, upstream_pool_, router_,
@@ -132,10 +132,10 @@
         dispatcher_.notify_router(TimerFired{timer.router_token});
         break;
       case TimerKind::request_expired:
-        dispatcher_.fail(timer.request);
+        dispatcher_.expire(timer.request);
         break;
       case TimerKind::attempt_timeout:
-        upstream_pool_.time_out_attempt(timer.request, timer.attempt);
+        upstream_pool_.on_attempt_timeout({timer.request, timer.attempt});
         break;
       case TimerKind::delayed_completion:
         upstream_pool_.release_delayed_completion();
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -56,6 +56,12 @@
   report_completions();
 }
 
+/// The timer may be that of an earlier request with the same id.
+void RequestDispatcher::expire(const std::string& request) {
+  const PendingRequest* pending = dependencies_.pending_requests.find(request);
+  if (pending != nullptr && pending->request.expires <= dependencies_.context.now) fail(request);
+}
+
 void RequestDispatcher::fail(const std::string& request) {
   const PendingRequest* pending = dependencies_.pending_requests.find(request);
   if (pending == nullptr) return;
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -44,8 +44,10 @@
   void accept(PendingRequest pending);
   /// Cancels a request for which the client no longer waits; it gets no answer.
   void cancel(const std::string& request);
-  /// Fails a request whose deadline has passed, so that each request gets a final answer even if the router
-  /// has not given one, or whose client is about to be disconnected.
+  /// Fails a request if its deadline has passed, so that each request gets a final answer even if the router
+  /// has not given one.
+  void expire(const std::string& request);
+  /// Fails a request, for example because its client is not read any more.
   void fail(const std::string& request);
 
  private:
--- a/src/proxy/upstream/endpoint_directory.cpp
+++ b/src/proxy/upstream/endpoint_directory.cpp
@@ -61,6 +61,7 @@
 }
 
 void EndpointDirectory::remember_removed(const std::string& id) {
+  std::erase(recently_removed_, id);  // an endpoint that comes and goes must not displace all others
   recently_removed_.push_back(id);
   if (recently_removed_.size() > kMaxRemovedEndpoints) recently_removed_.pop_front();
 }
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -128,6 +128,14 @@
   abandon_attempt({request, number}, AttemptResult::timed_out);
 }
 
+/// The timer may be that of an attempt of an earlier request with the same id.
+void UpstreamPool::on_attempt_timeout(const AttemptKey& key) {
+  const OutstandingAttempt* attempt = attempts_.find(key);
+  if (attempt != nullptr && attempt->request.expires_at <= context_.now) {
+    abandon_attempt(key, AttemptResult::timed_out);
+  }
+}
+
 void UpstreamPool::abandon_attempt(const AttemptKey& key, AttemptResult result) {
   const OutstandingAttempt* attempt = attempts_.find(key);
   if (attempt == nullptr) return;
--- a/src/proxy/upstream/upstream_pool.h
+++ b/src/proxy/upstream/upstream_pool.h
@@ -42,6 +42,8 @@
   void start_attempt(UpstreamRequest request);
   void cancel_attempt(const std::string& request, int number);
   void time_out_attempt(const std::string& request, int number);
+  /// Times out the attempt if its time has passed.
+  void on_attempt_timeout(const AttemptKey& key);
   /// Whether the attempt has not ended.
   [[nodiscard]] bool has_attempt(const AttemptKey& key) const { return attempts_.find(key) != nullptr; }
   /// Sends a health check; its result is an immediate failure if it can't be sent.
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -33,6 +33,7 @@
     free_indices_.pop_back();
   }
   endpoints_[new_index] = EndpointStats();
+  endpoints_[new_index].is_in_use = true;
   endpoints_[new_index].hash = splitmix64(fnv1a(id));
   return new_index;
 }
@@ -51,9 +52,13 @@
 /// Frees the entry of a removed endpoint once no pending request refers to it, for reuse by a new endpoint.
 /// This bounds the memory when endpoints are replaced repeatedly.
 void EndpointTable::free_if_unused(std::size_t index) {
-  const EndpointStats& stats = endpoints_[index];
-  if (stats.endpoint.state != EndpointState::removed || stats.references > 0) return;
-  if (index_by_id_.erase(stats.endpoint.id) == 0) return;  // already freed
+  EndpointStats& stats = endpoints_[index];
+  if (!stats.is_in_use || stats.endpoint.state != EndpointState::removed || stats.references > 0) return;
+  index_by_id_.erase(stats.endpoint.id);
+  // Nothing of the endpoint stays in the free entry, least of all its id, which may be listed again in
+  // another.
+  stats = EndpointStats();
+  stats.endpoint.state = EndpointState::removed;
   free_indices_.push_back(index);
 }
 
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -26,8 +26,9 @@
   Endpoint endpoint;
   std::uint64_t hash = 0;  ///< hash of its id, for rendezvous hashing
   Role role = Role::other_zone;
-  int references = 0;  ///< number of uses as endpoint or source by attempts of pending requests
-  int in_flight = 0;   ///< this router's open attempts with it as endpoint or source
+  bool is_in_use = false;  ///< false: the entry is free, and no id refers to it
+  int references = 0;      ///< number of uses as endpoint or source by attempts of pending requests
+  int in_flight = 0;       ///< this router's open attempts with it as endpoint or source
   EndpointHealth health;
   ConcurrencyLimit limit;
   SlidingWindowSum warm_up_work;  ///< work sent to it while it is warming up
--- a/src/routing/pending_request.h
+++ b/src/routing/pending_request.h
@@ -27,6 +27,7 @@
 
 struct PendingRequest {
   Request request;
+  std::uint64_t number = 0;    ///< tells it from an earlier request with the same id
   std::uint64_t part_key = 0;  ///< key of the part of the object, the unit that is counted and cached
   Rank rank = Rank::low;
   double work = 0;  ///< transfer time at the maximum rate, in seconds
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -58,6 +58,7 @@
 struct Timer {
   TimerKind kind = TimerKind::periodic_update;
   std::string request_id;  // empty for a timer that belongs to no request
+  std::uint64_t request_number = 0;
 };
 
 bool is_connection_fault(AttemptResult result) {
@@ -94,6 +95,7 @@
 
   std::vector<Action> handle(Time now, const Event& event);
   [[nodiscard]] Router::Stats stats() const;
+  [[nodiscard]] bool has_request(const std::string& id) const { return pending_.contains(id); }
 
  private:
   // Start and timers.
@@ -117,9 +119,9 @@
   void on_event(const SettingsChanged& changed) { settings_ = changed.settings; }
 
   // Timers of a request.
-  void on_hedge_delay(const std::string& request_id);
-  void on_latency_objective(const std::string& request_id);
-  void on_deadline(const std::string& request_id);
+  void on_hedge_delay(const Timer& timer);
+  void on_latency_objective(const Timer& timer);
+  void on_deadline(const Timer& timer);
 
   // Request handling.
   [[nodiscard]] PendingRequest make_pending(const Request& request);
@@ -134,7 +136,9 @@
   void give_up(PendingRequest& pending);
   void finish(PendingRequest& pending);
   void remove_if_done(const std::string& request_id);
-  [[nodiscard]] PendingRequest* find_waiting(const std::string& request_id);
+  void add_timer(Time due, TimerKind kind, const PendingRequest& pending);
+  [[nodiscard]] bool is_stale(const Timer& timer) const;
+  [[nodiscard]] PendingRequest* find_waiting(const Timer& timer);
   [[nodiscard]] Time retry_after() const;
 
   Settings settings_;
@@ -144,6 +148,7 @@
   std::vector<Action> actions_;
   TimerQueue<Timer> timers_;
   std::map<std::string, PendingRequest> pending_;
+  std::uint64_t last_request_number_ = 0;
   RetryBudget retry_budget_;
 
   // Declaration order matters: the components refer to the settings and to each other.
@@ -190,7 +195,7 @@
   has_started_ = true;
   popularity_.start(now_);
   slow_start_.start(now_);
-  timers_.add(now_ + kPeriodicUpdateInterval, {TimerKind::periodic_update, {}});
+  timers_.add(now_ + kPeriodicUpdateInterval, {TimerKind::periodic_update, {}, 0});
   if (settings_.subscription_required) actions_.emplace_back(SubscribeEndpointList{});
 }
 
@@ -201,13 +206,13 @@
 void Router::Impl::run_timer(const Timer& timer) {
   switch (timer.kind) {
     case TimerKind::hedge:
-      on_hedge_delay(timer.request_id);
+      on_hedge_delay(timer);
       break;
     case TimerKind::latency_objective:
-      on_latency_objective(timer.request_id);
+      on_latency_objective(timer);
       break;
     case TimerKind::deadline:
-      on_deadline(timer.request_id);
+      on_deadline(timer);
       break;
     case TimerKind::periodic_update:
       run_periodic_update();
@@ -222,9 +227,7 @@
 /// cancels requests at full speed.
 void Router::Impl::drop_stale_timers() {
   if (timers_.size() <= kMaxStaleTimers + kMaxTimersPerRequest * pending_.size()) return;
-  timers_.erase_if([this](const Timer& timer) {
-    return !timer.request_id.empty() && !pending_.contains(timer.request_id);
-  });
+  timers_.erase_if([this](const Timer& timer) { return is_stale(timer); });
 }
 
 void Router::Impl::schedule_wake_up() {
@@ -242,7 +245,7 @@
     const double reference = reference_latency(endpoints_, group);
     for (const std::size_t index : group) endpoints_[index].health.decay_latency_towards(reference);
   }
-  timers_.add(now_ + kPeriodicUpdateInterval, {TimerKind::periodic_update, {}});
+  timers_.add(now_ + kPeriodicUpdateInterval, {TimerKind::periodic_update, {}, 0});
 }
 
 // ---- Events ----
@@ -251,7 +254,7 @@
   if (list.kind != ListKind::failed) {
     endpoints_.apply(list);
   } else if (settings_.subscription_required) {
-    timers_.add(now_ + kSubscribeRetryDelay, {TimerKind::subscribe, {}});
+    timers_.add(now_ + kSubscribeRetryDelay, {TimerKind::subscribe, {}, 0});
   }
 }
 
@@ -269,9 +272,9 @@
   drop_stale_timers();
   fill_policy_.record_request(arrived);
   retry_budget_.record_request();
-  timers_.add(request.expires - settings_.tick, {TimerKind::deadline, request.id});
+  add_timer(request.expires - settings_.tick, TimerKind::deadline, arrived);
   if (!runs_at_origin(settings_, request)) {
-    timers_.add(now_ + arrived.latency_objective, {TimerKind::latency_objective, request.id});
+    add_timer(now_ + arrived.latency_objective, TimerKind::latency_objective, arrived);
   }
   PendingRequest& pending = pending_[request.id] = std::move(arrived);
   if (!send_next_attempt(pending)) give_up(pending);
@@ -310,8 +313,8 @@
 /// An attempt that is unanswered after most of its latency objective counts as slow, and a hedged request is
 /// sent to the next endpoint and source in rendezvous order. The retry budget keeps hedged requests from
 /// adding to an overload.
-void Router::Impl::on_hedge_delay(const std::string& request_id) {
-  PendingRequest* pending = find_waiting(request_id);
+void Router::Impl::on_hedge_delay(const Timer& timer) {
+  PendingRequest* pending = find_waiting(timer);
   if (pending == nullptr) return;
   feedback_.record_silent_attempts(now_, *pending);
   const auto open_count = std::count_if(pending->attempts.begin(), pending->attempts.end(),
@@ -324,23 +327,23 @@
 /// the bandwidth that it occupies. With capacity left it continues, so that a slow fill still leaves its
 /// copy. An attempt with a fill gets the same time once more: a cache may drop a fill whose client has left,
 /// and its bytes would have to be transferred again.
-void Router::Impl::on_latency_objective(const std::string& request_id) {
-  PendingRequest* pending = find_waiting(request_id);
+void Router::Impl::on_latency_objective(const Timer& timer) {
+  PendingRequest* pending = find_waiting(timer);
   if (pending == nullptr) return;
   const OverdueAttempts overdue = feedback_.record_overdue_attempts(now_, *pending);
   if (overdue.has_newly_overdue_fill) {
-    timers_.add(now_ + pending->latency_objective, {TimerKind::latency_objective, request_id});
+    add_timer(now_ + pending->latency_objective, TimerKind::latency_objective, *pending);
   } else if (overdue.is_at_capacity) {
     give_up(*pending);
-    remove_if_done(request_id);
+    remove_if_done(timer.request_id);
   }
 }
 
-void Router::Impl::on_deadline(const std::string& request_id) {
-  PendingRequest* pending = find_waiting(request_id);
+void Router::Impl::on_deadline(const Timer& timer) {
+  PendingRequest* pending = find_waiting(timer);
   if (pending == nullptr) return;
   give_up(*pending);
-  remove_if_done(request_id);
+  remove_if_done(timer.request_id);
 }
 
 // ---- Request handling ----
@@ -348,6 +351,7 @@
 PendingRequest Router::Impl::make_pending(const Request& request) {
   PendingRequest pending;
   pending.request = request;
+  pending.number = ++last_request_number_;
   pending.part_key = splitmix64(request.object ^ splitmix64(request.part));
   pending.rank = popularity_.count_and_rank(now_, pending.part_key, request.client_retry);
   return pending;
@@ -402,7 +406,7 @@
   if (route.source != route.endpoint) record_sent(route.source, route.work);
   actions_.emplace_back(std::move(attempt));
   if (runs_at_origin(settings_, pending.request)) return;
-  timers_.add(now_ + hedge_delay(pending.latency_objective), {TimerKind::hedge, pending.request.id});
+  add_timer(now_ + hedge_delay(pending.latency_objective), TimerKind::hedge, pending);
 }
 
 void Router::Impl::record_sent(std::size_t endpoint, double work) {
@@ -461,10 +465,22 @@
   }
 }
 
-/// Returns the request, or null if it is removed, finished or streaming.
-PendingRequest* Router::Impl::find_waiting(const std::string& request_id) {
-  const auto found = pending_.find(request_id);
-  return found != pending_.end() && found->second.is_waiting() ? &found->second : nullptr;
+void Router::Impl::add_timer(Time due, TimerKind kind, const PendingRequest& pending) {
+  timers_.add(due, {kind, pending.request.id, pending.number});
+}
+
+/// Whether the timer belongs to a request that is removed. Another request may have the same id.
+bool Router::Impl::is_stale(const Timer& timer) const {
+  if (timer.request_id.empty()) return false;
+  const auto found = pending_.find(timer.request_id);
+  return found == pending_.end() || found->second.number != timer.request_number;
+}
+
+/// Returns the timer's request, or null if it is removed, finished or streaming.
+PendingRequest* Router::Impl::find_waiting(const Timer& timer) {
+  if (is_stale(timer)) return nullptr;
+  PendingRequest& pending = pending_.at(timer.request_id);
+  return pending.is_waiting() ? &pending : nullptr;
 }
 
 /// The delay keeps the client of a rejected request from retrying while the overload lasts. Drawback: after a
@@ -482,5 +498,6 @@
 
 std::vector<Action> Router::handle(Time now, const Event& event) { return impl_->handle(now, event); }
 Router::Stats Router::stats() const { return impl_->stats(); }
+bool Router::has_request(const std::string& id) const { return impl_->has_request(id); }
 
 }  // namespace edge_proxy
--- a/tests/app/edge_proxy_test.cpp
+++ b/tests/app/edge_proxy_test.cpp
@@ -53,6 +53,31 @@
   )");
 }
 
+// Guards against a parent that the list reports as gone and that the router still chooses as a source, since
+// its entry in the endpoint table was lost when it returned in another one.
+TEST(EdgeProxyProcess, AParentThatLeavesForTheSecondTimeIsNoSourceAnyMore) {
+  StartedProgram program({"box-1", "up-1", "up-2", "main"});
+  const auto list = [&program](int number, const std::string& id, const std::string& phase) {
+    const std::string address = "127.0.0.1:" + std::to_string(program.port(id));
+    run_scenario(program, R"(bulletin send {"no":)" + std::to_string(number) +
+                              R"(,"roster":{"revision":2,"complete":false,"members":[)" +
+                              member_json(id, address, phase) +
+                              "]}}\nedge expect log list no=" + std::to_string(number));
+  };
+  run_scenario(program, "bulletin expect get last=1\nbulletin send head");
+  list(2, "up-1", "left");
+  list(3, "up-2", "left");
+  list(4, "up-1", "active");
+  list(5, "up-2", "active");
+  list(6, "up-1", "left");
+  for (int request = 1; request <= 20; ++request) {
+    const std::string number = std::to_string(request);
+    run_scenario(program, "anna send " + number + " pages\nbox-1 expect serve " + number +
+                              " from=up-2\nbox-1 send HIT " + number + " ver=a b\nanna expect served " +
+                              number);
+  }
+}
+
 TEST(EdgeProxyProcess, LargeAnswerIsDeliveredWhole) {
   StartedProgram program;
   run_scenario(program, "anna send 1 video\nbox-1 expect serve 1");
--- /dev/null
+++ b/tests/proxy/reused_ids_test.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+// Requests whose id an earlier request had, in virtual time. Usual clients use each id once.
+#include <gtest/gtest.h>
+
+#include "support/virtual_time_harness.h"
+
+namespace edge_proxy::test {
+namespace {
+
+std::string without_cancels(std::string config) {
+  const std::string key = R"("cancelling":true)";
+  return config.replace(config.find(key), key.size(), R"("cancelling":false)");
+}
+
+// Guards against a response that is delivered as the answer to another request with the same id.
+TEST(ReusedIds, ARequestIsRejectedWhileAnAttemptOfAnEarlierOneIsOpen) {
+  VirtualTimeHarness harness({"box-1", "up-1", "main"}, 192, without_cancels);
+  run_scenario(harness, R"(
+    anna send 1 pages
+    box-1 expect serve 1 thing=0000000000000001
+    anna send giveUp 1
+    bert send 1 pages item=00000000000000bb
+    bert expect failed 1
+    box-1 expect nothing
+    box-1 send HIT 1 ver=a of the first object
+    bert expect nothing
+    bert send 1 pages item=00000000000000bb
+    box-1 expect serve 1 thing=00000000000000bb
+    box-1 send HIT 1 ver=a of the second object
+    bert expect served 1 body=of the second object
+  )");
+}
+
+// Guards against a timer that outlives its request and ends a later request with the same id.
+TEST(ReusedIds, TimersOfAnEarlierRequestDoNotEndALaterOne) {
+  VirtualTimeHarness harness;
+  run_scenario(harness, R"(
+    anna send 1 order unique=k limit=400
+    box-1 expect serve 1
+    box-1 send HIT 1 ver=a b
+    anna expect served 1
+    wait 100
+    anna send 1 order unique=k limit=2900
+    box-1 expect serve 1
+    wait 500
+    anna expect nothing
+    box-1 send HIT 1 ver=a c
+    anna expect served 1 body=c
+  )");
+}
+
+}  // namespace
+}  // namespace edge_proxy::test
