Give consensus outputs and catch-up entries types, and connections one ClosedBy

Change: `OutgoingMessage`, `IndexedEntry` and the existing `AdminReply` take their place; the pool and the admin connections use `proxy::ClosedBy`; `total_allowed_work()` takes nothing.

--- a/src/consensus/codec.cpp
+++ b/src/consensus/codec.cpp
@@ -103,7 +103,7 @@
     const auto entry = read(indexed.entry());
     if (!entry || indexed.index() <= last || indexed.index() > from.up_to_index()) return std::nullopt;
     last = indexed.index();
-    response.entries.emplace_back(last, *entry);
+    response.entries.push_back({last, *entry});
   }
   return response;
 }
--- a/src/consensus/raft_log.cpp
+++ b/src/consensus/raft_log.cpp
@@ -170,7 +170,7 @@
   if (!received.ParseFromString(message.bytes)) return;
   const Call call(*this, output);
   if (received.is_request()) {
-    output.messages.emplace_back(from, encode(bootstrap_reply(), settings_.lease));
+    output.messages.push_back({from, encode(bootstrap_reply(), settings_.lease)});
     return;
   }
   if (components_->node || !components_->bootstrap.is_initial_voter(from)) return;
--- a/src/consensus/raft_log_output.h
+++ b/src/consensus/raft_log_output.h
@@ -4,16 +4,21 @@
 #pragma once
 
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "consensus/reducer.h"
 
 namespace edge_proxy::consensus {
 
+/// An encoded message for another member.
+struct OutgoingMessage {
+  std::string to;
+  std::string bytes;
+};
+
 struct RaftLogOutput {
-  std::vector<std::pair<std::string, std::string>> messages;  ///< receiving member and encoded message
-  std::vector<Input> inputs;                                  ///< for the reducer, in order
+  std::vector<OutgoingMessage> messages;
+  std::vector<Input> inputs;  ///< for the reducer, in order
   std::vector<std::string> log_lines;
 };
 
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -137,8 +137,8 @@
   if (written.has_request_vote_result()) correct_vote_result(*written.mutable_request_vote_result());
   if (written.has_append_entries_result()) correct_append_result(*written.mutable_append_entries_result());
   if (context_.output == nullptr) return;
-  context_.output->messages.emplace_back(name_in_address(message.server_address),
-                                         encode(written, context_.lease));
+  context_.output->messages.push_back(
+      {name_in_address(message.server_address), encode(written, context_.lease)});
 }
 
 /// Works around a fault of libraft 0.15: the rejection of a pre-vote carries the requested term instead of
--- a/src/consensus/reducer.cpp
+++ b/src/consensus/reducer.cpp
@@ -82,9 +82,9 @@
   if (input.index <= before) return;
   if (input.entry) {
     state_machine_.apply(input.index, *input.entry);
-    recent_entries_.emplace_back(input.index, *input.entry);
+    recent_entries_.push_back({input.index, *input.entry});
     if (recent_entries_.size() > kMaxRecentEntries) {
-      recent_after_index_ = recent_entries_.front().first;
+      recent_after_index_ = recent_entries_.front().index;
       recent_entries_.pop_front();
     }
   } else {
@@ -244,10 +244,10 @@
   for (const auto& [index, entry] : recent_entries_) {
     if (index <= message.after_index) continue;
     if (response.entries.size() == kMaxEntriesPerResponse) {
-      response.up_to_index = response.entries.back().first;
+      response.up_to_index = response.entries.back().index;
       break;
     }
-    response.entries.emplace_back(index, entry);
+    response.entries.push_back({index, entry});
   }
   send(from, std::move(response));
 }
--- a/src/consensus/reducer.h
+++ b/src/consensus/reducer.h
@@ -198,8 +198,8 @@
   bool is_voter_ = false;
   Index newest_index_ = 0;  // the highest log index that any member is known to have applied
   std::map<std::string, bool> members_;
-  std::deque<std::pair<Index, Entry>> recent_entries_;  // for members that catch up
-  Index recent_after_index_ = 0;                        // all entries after this index are in recent_entries_
+  std::deque<IndexedEntry> recent_entries_;        // for members that catch up
+  Index recent_after_index_ = 0;                   // all entries after this index are in recent_entries_
   Index checked_change_ = 0;                       // the change that unsupported_reason_ refers to; 0: none
   std::optional<std::string> unsupported_reason_;  // none: this proxy can apply it
   std::map<std::uint64_t, PendingCall> pending_calls_;
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -134,10 +134,16 @@
   Index after_index = 0;
   auto operator<=>(const CatchUpRequest&) const = default;
 };
+/// An entry of the log with its index.
+struct IndexedEntry {
+  Index index = 0;
+  Entry entry;
+  auto operator<=>(const IndexedEntry&) const = default;
+};
 struct CatchUpResponse {
   Index after_index = 0;
   Index up_to_index = 0;
-  std::vector<std::pair<Index, Entry>> entries;  ///< index and entry, complete up to `up_to_index`
+  std::vector<IndexedEntry> entries;  ///< complete up to `up_to_index`
   auto operator<=>(const CatchUpResponse&) const = default;
 };
 /// The whole state at a log index, for a member that is too far behind for CatchUpResponse.
--- a/src/event_loop/consensus_worker.cpp
+++ b/src/event_loop/consensus_worker.cpp
@@ -48,7 +48,7 @@
   if (request.from == name_) {
     output_.consensus_inputs.emplace_back(consensus::MessageReceived{name_, reply});
   } else {
-    output_.outgoing_messages.emplace_back(request.from, consensus::encode(reply, lease_));
+    output_.outgoing_messages.push_back({request.from, consensus::encode(reply, lease_)});
   }
 }
 
@@ -67,11 +67,11 @@
 void ConsensusWorker::perform(const proxy::VoterChangeCall& call) {
   const bool is_started = call.add ? add_voter(call.name) : log_.remove_voter(call.name, log_output_);
   if (is_started) {
-    output_.admin_replies.emplace_back(call.call, kHttpAccepted, "started: see the log and GET /v1/policy\n");
+    output_.admin_replies.push_back({call.call, kHttpAccepted, "started: see the log and GET /v1/policy\n"});
   } else {
-    output_.admin_replies.emplace_back(
-        call.call, kHttpConflict,
-        "ask the leader (to add a voter: NAME=ID) while no other voter change is in progress\n");
+    output_.admin_replies.push_back(
+        {call.call, kHttpConflict,
+         "ask the leader (to add a voter: NAME=ID) while no other voter change is in progress\n"});
   }
 }
 
--- a/src/proxy/admin/admin_connections.cpp
+++ b/src/proxy/admin/admin_connections.cpp
@@ -12,7 +12,7 @@
 
 void AdminConnections::on_accepted(ConnectionId connection) {
   ++context_.open_connections;
-  if (is_full()) end(connection_to_evict(), CloseReason::too_many, true);
+  if (is_full()) end(connection_to_evict(), CloseReason::too_many, ClosedBy::proxy);
   connections_.try_emplace(connection, context_.memory).first->second.opened_at = context_.now;
 }
 
@@ -46,12 +46,11 @@
   context_.shutdown_write(connection);
 }
 
-void AdminConnections::end(ConnectionId connection, CloseReason reason, bool close_connection) {
+void AdminConnections::end(ConnectionId connection, CloseReason reason, ClosedBy closed_by) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
   const AdminConnection& closing = found->second;
-  context_.log_closed({"admin", connection, closing.opened_at, closing.call_count, {}}, reason,
-                      close_connection);
+  context_.log_closed({"admin", connection, closing.opened_at, closing.call_count, {}}, reason, closed_by);
   connections_.erase(found);
 }
 
@@ -64,7 +63,7 @@
   for (const auto& [id, connection] : connections_) {
     if (const auto reason = expiry_of(connection)) expired.push_back({id, *reason});
   }
-  for (const auto& [id, reason] : expired) end(id, reason, true);
+  for (const auto& [id, reason] : expired) end(id, reason, ClosedBy::proxy);
 }
 
 /// Returns the reason to close the connection; none if it has not expired.
@@ -79,12 +78,12 @@
 
 void AdminConnections::shed_excess_memory() {
   while (connections_.size() > 1 && context_.memory.is_exceeded(MemoryUse::admin_calls)) {
-    end(connection_to_evict(), CloseReason::memory_limit, true);
+    end(connection_to_evict(), CloseReason::memory_limit, ClosedBy::proxy);
   }
 }
 
 void AdminConnections::stop() {
-  while (!connections_.empty()) end(connections_.begin()->first, CloseReason::stopping, true);
+  while (!connections_.empty()) end(connections_.begin()->first, CloseReason::stopping, ClosedBy::proxy);
 }
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/admin/admin_connections.h
+++ b/src/proxy/admin/admin_connections.h
@@ -28,8 +28,8 @@
   std::optional<AdminCall> on_bytes(ConnectionId connection, std::string_view bytes);
   /// Writes the response and shuts down the sending side; the caller closes the connection after reading it.
   void reply(ConnectionId connection, int status, std::string_view body);
-  /// Removes a connection; `close_connection`: whether the proxy closes it, and not the caller.
-  void end(ConnectionId connection, CloseReason reason, bool close_connection);
+  /// Removes a connection that the caller closed, or closes it.
+  void end(ConnectionId connection, CloseReason reason, ClosedBy closed_by);
   /// Closes connections whose call did not arrive within kAdminCallTimeout, or that the caller did not close
   /// within kDrainTimeout after the response.
   void sweep();
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -89,9 +89,6 @@
   void stop_reading(ConnectionId connection);
   /// Closes a connection, unless the peer has already closed it, and logs the reason.
   void log_closed(const ConnectionRecord& record, CloseReason reason, ClosedBy closed_by);
-  void log_closed(const ConnectionRecord& record, CloseReason reason, bool close_connection) {
-    log_closed(record, reason, close_connection ? ClosedBy::proxy : ClosedBy::peer);
-  }
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/inputs.h
+++ b/src/proxy/inputs.h
@@ -7,8 +7,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -75,12 +73,12 @@
 };
 /// Output of the policy's replicated log, which runs on its own thread.
 struct ConsensusOutput {
-  std::vector<std::pair<std::string, std::string>> outgoing_messages;  ///< receiving member, encoded message
+  std::vector<consensus::OutgoingMessage> outgoing_messages;
   std::vector<consensus::Input> consensus_inputs;
   std::vector<std::string> log_lines;
   std::map<std::string, std::uint64_t> voters;  ///< names and Raft ids of the voters in the log
-  std::vector<std::tuple<ConnectionId, int, std::string>> admin_replies;  ///< admin call, HTTP status, body
-  std::uint64_t own_raft_id = 0;                                          ///< Raft id of this proxy
+  std::vector<consensus::AdminReply> admin_replies;
+  std::uint64_t own_raft_id = 0;  ///< Raft id of this proxy
 };
 using Input = std::variant<Accepted, DescriptorsExhausted, BytesArrived, WriteDrained, Connected,
                            ConnectFailed, ConnectionClosed, LoopTimerExpired, ShutdownRequested, Reloaded,
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -274,7 +274,7 @@
     } else if (upstream_pool_.owns(connection)) {
       upstream_pool_.on_closed(connection, reason);
     } else if (admin_connections_.owns(connection)) {
-      admin_connections_.end(connection, reason, false);
+      admin_connections_.end(connection, reason, ClosedBy::peer);
     } else if (discovery_client_.owns(connection)) {
       discovery_client_.on_closed(reason);
     }
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -336,7 +336,7 @@
 }
 
 void UpstreamPool::on_closed(ConnectionId connection, CloseReason reason) {
-  close(connection, reason, ClosedBy::endpoint);
+  close(connection, reason, ClosedBy::peer);
 }
 
 void UpstreamPool::on_loop_stall() {
@@ -369,7 +369,7 @@
   endpoints_.remove_connection(connection.endpoint(), id);
   context_.log_closed(
       {"member", id, connection.opened_at(), connection.request_count(), connection.endpoint()},
-      connection.retired_for().value_or(reason), closed_by == ClosedBy::proxy);
+      connection.retired_for().value_or(reason), closed_by);
   const AttemptResult unsent_result =
       connection.is_connected() ? AttemptResult::not_sent : AttemptResult::unreachable;
   for (const AttemptKey& key : connection.queued_attempts()) complete(key, unsent_result);
--- a/src/proxy/upstream/upstream_pool.h
+++ b/src/proxy/upstream/upstream_pool.h
@@ -78,8 +78,6 @@
   void stop();
 
  private:
-  /// Which side closed a connection.
-  enum class ClosedBy { proxy, endpoint };
   using RequestPredicate = std::function<bool(const UpstreamRequest&)>;
 
   // Endpoints.
--- a/tests/golden/codec_golden_test.cpp
+++ b/tests/golden/codec_golden_test.cpp
@@ -1403,7 +1403,7 @@
            consensus::CatchUpResponse{5, 9, {{10, {}}}},
            consensus::CatchUpResponse{5, 9, {{6, {static_cast<consensus::Step>(4), 0, "", 0, "", ""}}}},
            consensus::Snapshot{1, 1, "", "", {}, {{"", static_cast<consensus::ChangeResult>(3), 0, ""}}},
-           consensus::CatchUpResponse{0, 99, std::vector<std::pair<consensus::Index, consensus::Entry>>(65)},
+           consensus::CatchUpResponse{0, 99, std::vector<consensus::IndexedEntry>(65)},
            consensus::Snapshot{1, 1, "", "", {}, std::vector<consensus::ChangeOutcome>(257)}})
     add(consensus::encode(message, kLease));
   for (const consensus::Message& message : std::vector<consensus::Message>{
--- a/tests/golden/consensus_trace.cpp
+++ b/tests/golden/consensus_trace.cpp
@@ -66,8 +66,8 @@
          "}";
 }
 
-std::string describe_entries(const std::vector<std::pair<consensus::Index, consensus::Entry>>& entries) {
-  return list_of(entries, [](const auto& item) { return text_of(item.first) + ":" + text_of(item.second); });
+std::string describe_entries(const std::vector<consensus::IndexedEntry>& entries) {
+  return list_of(entries, [](const auto& item) { return text_of(item.index) + ":" + text_of(item.entry); });
 }
 
 /// Returns the number of bytes that an encoded list of servers uses: a version and a count, and for each
--- a/tests/support/slow_start_world.h
+++ b/tests/support/slow_start_world.h
@@ -90,8 +90,8 @@
     SlowStartResult result;
     result.cache_excess = cache_.worst_excess;
     result.parent_excess = parent_.worst_excess;
-    result.cache_used = cache_.total_work / cache_.total_allowed_work(mean_work());
-    result.parent_used = parent_.total_work / parent_.total_allowed_work(mean_work());
+    result.cache_used = cache_.total_work / cache_.total_allowed_work();
+    result.parent_used = parent_.total_work / parent_.total_allowed_work();
     result.served_ratio = static_cast<double>(served_count_) / std::max(1, request_count_);
     return result;
   }
@@ -130,7 +130,7 @@
       const double age = std::chrono::duration<double>(now - kEndpointStart).count() / warm_up_seconds;
       return overload_factor * (initial_capacity + (1 - initial_capacity) * std::min(1.0, age)) * weight * 2;
     }
-    [[nodiscard]] double total_allowed_work(double) const {
+    [[nodiscard]] double total_allowed_work() const {
       return overload_factor * (initial_capacity + (1 - initial_capacity) / 2) * weight * warm_up_seconds;
     }
     void record_sent(Time now, double work, double mean) {
