Add bootstrap messages as clang 14 accepts aggregates

Cause: made the log's messages an aggregate; `emplace_back` of one with arguments needs a compiler that initializes aggregates from parentheses.

Change: `push_back` with braces, as in the other three places.

--- a/src/consensus/log_bootstrap.cpp
+++ b/src/consensus/log_bootstrap.cpp
@@ -33,7 +33,7 @@
   request.set_is_request(true);
   request.set_id(context_.server_id);
   for (const std::string& name : initial_voters_) {
-    if (name != context_.name) context_.output->messages.emplace_back(name, encode(request, context_.lease));
+    if (name != context_.name) context_.output->messages.push_back({name, encode(request, context_.lease)});
   }
 }
 
