--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -171,8 +171,8 @@
   }
 
   /// Keeps the memory that peers make the process hold within its limit. Each use is brought within its
-  /// allowance: operators first, then clients with incomplete messages, clients that do not read, and endpoints
-  /// with incomplete responses.
+  /// allowance: operators first, then clients with incomplete messages, clients that do not read, and
+  /// endpoints with incomplete responses.
   void shed_excess_memory() {
     drop_stale_timers();
     admin_connections_.shed_excess_memory();
