--- a/review/world-2.h
+++ b/review/world-2.h
@@ -711,12 +711,21 @@
     listen_socket_ = bind_socket(0, true);
     admin_socket_ = bind_socket(0, true);
   }
+  /// The process that replaces `old`: the same addresses and TMPDIR, but an admin address of its own. `old`
+  /// must live longer.
+  Proxy(Record& record, const Proxy& old)
+      : record_(record),
+        root_(old.root_),
+        folder_(old.folder_),
+        listen_socket_(dup(old.listen_socket_)),
+        admin_socket_(bind_socket(0, true)),
+        owns_folder_(false) {}
   ~Proxy() {
     kill_now();
     ::close(listen_socket_);
     ::close(admin_socket_);
     std::error_code error;
-    std::filesystem::remove_all(folder_, error);
+    if (owns_folder_) std::filesystem::remove_all(folder_, error);
   }
   Proxy(const Proxy&) = delete;
   Proxy& operator=(const Proxy&) = delete;
@@ -728,7 +737,8 @@
   void start(ConfigValues values) {
     values.listen = port();
     values.admin = admin_port();
-    const std::string config = folder_ + "/config.json", log = folder_ + "/log.txt";
+    const std::string config = folder_ + (owns_folder_ ? "/config.json" : "/config-next.json");
+    const std::string log = log_path();
     std::ofstream(config) << config_json(values);
     const std::string command = deploy_command(root_, "run");
     const std::string config_variable = "GW_CONFIG=" + config, tmp_variable = "TMPDIR=" + folder_ + "/tmp";
@@ -761,7 +771,7 @@
     pid_ = -1;
   }
   [[nodiscard]] std::string log() const {
-    std::ifstream file(folder_ + "/log.txt");
+    std::ifstream file(log_path());
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
@@ -775,13 +785,37 @@
   }
 
  private:
+  [[nodiscard]] std::string log_path() const {
+    return folder_ + (owns_folder_ ? "/log.txt" : "/log-next.txt");
+  }
+
   Record& record_;
   std::string root_, folder_;
   int listen_socket_ = -1, admin_socket_ = -1;
+  bool owns_folder_ = true;
   pid_t pid_ = -1;
   int status_ = 0;
 };
 
+/// An operator's call; returns the status, 0 if there was no answer within a second.
+inline int admin_call(Record& record, int port, const std::string& method, const std::string& path) {
+  const int called = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{1, 0};
+  setsockopt(called, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  const sockaddr_in address = loopback(port);
+  const std::string call = method + " " + path + " HTTP/1.1\r\nHost: " + address_of(port) + "\r\n\r\n";
+  int status = 0;
+  if (connect(called, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+      send(called, call.data(), call.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(call.size())) {
+    std::array<char, 64> head{};
+    if (recv(called, head.data(), head.size() - 1, 0) > 12) status = std::atoi(head.data() + 9);
+  }
+  close(called);
+  record.line("operator " + method + " " + path + " at port " + std::to_string(port) + ": " +
+              std::to_string(status));
+  return status;
+}
+
 /// Waits until the edge proxy answers a probe with `good`.
 inline void wait_until_ready(Loop& loop, Record& record, Proxy& proxy) {
   bool is_ready = false;
