--- a/review/world-2.h
+++ b/review/world-2.h
@@ -757,10 +757,25 @@
     }
     record_.line("edge proxy started: " + command);
   }
+  /// Replaces the configuration file and sends SIGHUP.
+  void reload(ConfigValues values) const {
+    values.listen = port();
+    values.admin = admin_port();
+    std::ofstream(folder_ + "/config.json.new") << config_json(values);
+    std::filesystem::rename(folder_ + "/config.json.new", folder_ + "/config.json");
+    record_.line("SIGHUP with sockets=" + std::to_string(values.sockets) +
+                 " memory_mb=" + std::to_string(values.memory_mb));
+    send_signal(SIGHUP);
+  }
   [[nodiscard]] bool is_running() {
     if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = -1;
     return pid_ > 0;
   }
+  /// How the process ended, in words.
+  [[nodiscard]] std::string end() const {
+    if (WIFSIGNALED(status_)) return "signal " + std::to_string(WTERMSIG(status_));
+    return "exit code " + std::to_string(WEXITSTATUS(status_));
+  }
   void send_signal(int number) const {
     if (pid_ > 0) kill(pid_, number);
   }
