--- a/review/slow-reader-2.h
+++ b/review/slow-reader-2.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 /// @file
-/// Cases 7 and 9: one client asks for 32 of the largest objects at once and reads its answers slowly.
+/// Cases 6 and 9: one client asks for 32 of the largest objects at once and reads its answers slowly.
 #pragma once
 
 #include "world-2.h"
--- a/review/world-2.h
+++ b/review/world-2.h
@@ -421,6 +421,8 @@
     comment();
   }
 
+  /// Seconds between the head of a response and the first event.
+  double events_after = 0;
   [[nodiscard]] int port() const { return listener_->port(); }
   [[nodiscard]] std::string known_json() const { return R"({"no":1,"items":[)" + known_ + "]}"; }
   /// Adds an event with this content after `"no":N,`.
@@ -447,6 +449,7 @@
     std::unique_ptr<Stream> stream;
     std::string input;
     int last = -1;
+    bool is_reading = false;
   };
 
   void accept(int socket) {
@@ -463,11 +466,16 @@
     reader.last = field == std::string::npos ? 0 : std::atoi(reader.input.c_str() + field + 15);
     record_.line("bulletin asked, last=" + std::to_string(reader.last));
     reader.stream->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n");
-    send_events(reader);
+    loop_.after(events_after, [this, number] {
+      const auto found = readers_.find(number);
+      if (found == readers_.end()) return;
+      found->second.is_reading = true;
+      send_events(found->second);
+    });
   }
 
   void send_events(Reader& reader) {
-    if (reader.last < 0) return;
+    if (!reader.is_reading) return;
     for (const auto& [number, event] : events_) {
       if (number <= reader.last) continue;
       reader.stream->send("id: " + std::to_string(number) + "\ndata: " + event + "\n\n");
@@ -477,7 +485,7 @@
 
   void comment() {
     for (auto& [id, reader] : readers_) {
-      if (reader.last >= 0) reader.stream->send(": still here\n\n");
+      if (reader.is_reading) reader.stream->send(": still here\n\n");
     }
     loop_.after(1, [this] { comment(); });
   }
