--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -44,7 +44,6 @@
         client_(
             loop, record, "usual-" + std::to_string(client_number), port, kReceiveBuffer,
             [this](int, Answered, std::size_t) { on_answer(); }, [](bool) {}) {
-    client_.is_recorded = false;
     client_.stream().limit_reading(kUsualBytesPerS);
     send();
   }
@@ -102,8 +101,9 @@
   Loop loop;
   std::vector<std::string> ids{"up-1", "up-2", "main"};
   for (int i = 1; i <= 12; ++i) ids.push_back("box-" + std::to_string(i));
-  Members members(loop, record, ids, [](const Served& request) {
+  Members members(loop, record, ids, [&record](const Served& request) {
     const bool is_bad = std::strtoull(request.item.c_str(), nullptr, 16) >= kFirstBadObject;
+    if (!is_bad) record.line(request.member + " got serve " + request.id);
     return Members::hit(is_bad ? kBadBytes : kUsualBytes, kBorn);
   });
   members.delay = 0;
@@ -123,6 +123,8 @@
     if (child < 0) cannot_run("no process");
     if (child == 0) be_bad(i, proxy.port());
     bad_clients.push_back(child);
+    record.line("bad client " + std::to_string(i) + " begins: " + std::to_string(kAtOnce) +
+                " requests at a time with limit " + kLimit + ", each withdrawn, not recorded one by one");
   }
   // The usual clients read 1 MB a second.
   int answered = 0;
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -24,7 +24,6 @@
   Members members(loop, record, ids, [&](const Served&) {
     return purged_at == 0 ? Members::hit(kOldBytes, old_born) : Members::hit(kNewBytes, new_born);
   });
-  members.is_recorded = false;
   Bulletin bulletin(loop, record, members.all_json());
   Proxy proxy(record, argv[1]);
   ConfigValues values;
