Forget withdrawn requests on connections to caches once nothing needs them

Cause: each written attempt left its request's id on the connection until the request's time limit (up to four deadlines), also once it was answered or withdrawn; no memory account had these records. Evidence: `kept` in the line `load`, extended by these tables, rose with the attempts written (133,813 entries after 128,291 attempts) while `open` stayed at 64 and timers and router tables at about 4,000.

Change: a record ends when its answer has arrived and the request is not pending, or when an answer to a later attempt shows that the cache has read the cancel. A connection with 128 unconfirmed cancels takes no new attempts and is closed once none is open. Records and outstanding attempts (which outlive withdrawn requests where caches take no cancels) are charged to the memory account; a request with one attempt counts 3 KiB as before.

--- a/src/proxy/client/pending_requests.cpp
+++ b/src/proxy/client/pending_requests.cpp
@@ -152,7 +152,8 @@
 
 bool PendingRequests::has_room_for(const PendingRequest& request) const {
   const std::size_t multiple = clients_.has_open_calls(request.client) ? 1 : kFirstRequestMemoryMultiple;
-  return context_.memory.has_room_for(MemoryUse::requests, memory_of(request), multiple);
+  const std::size_t bytes = memory_of(request) + kOutstandingAttemptBytes;
+  return context_.memory.has_room_for(MemoryUse::requests, bytes, multiple);
 }
 
 void PendingRequests::add(PendingRequest request) {
--- a/src/proxy/close_reason.cpp
+++ b/src/proxy/close_reason.cpp
@@ -33,6 +33,8 @@
       return "silent";
     case CloseReason::stalled:
       return "stalled";
+    case CloseReason::unconfirmed_cancels:
+      return "unconfirmed_cancels";
     case CloseReason::backlog:
       return "backlog";
     case CloseReason::memory_limit:
--- a/src/proxy/close_reason.h
+++ b/src/proxy/close_reason.h
@@ -25,6 +25,7 @@
   endpoint_replaced,
   silent,
   stalled,
+  unconfirmed_cancels,
   backlog,
   memory_limit,
   too_many,
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -198,7 +198,8 @@
     gauges.attempts_in_flight = upstream_pool_.attempts_in_flight();
     gauges.router = router_.stats();
     gauges.endpoints = upstream_pool_.endpoint_count();
-    gauges.table_entries = context_.timers.size() + local_cache_.table_entries();
+    gauges.table_entries =
+        context_.timers.size() + local_cache_.table_entries() + upstream_pool_.table_entries();
     gauges.connections = context_.open_connections;
     stats_log_.log_second(context_, gauges);
     if (shutdown_.is_finished()) return;
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -126,8 +126,12 @@
 /// The buffers of all full-sync streams may take 1 / this of the memory limit.
 constexpr std::size_t kMemberStreamMemoryDivisor = 16;
 constexpr std::size_t kAllocatorOverheadDivisor = 8;
-/// Memory of an accepted request without its body, in bytes: its fields, attempts and timers.
-constexpr std::size_t kPendingRequestBytes = 3 * 1024;
+/// Memory of an accepted request without its body and attempts, in bytes: its fields and timers.
+constexpr std::size_t kPendingRequestBytes = 1536;
+/// Memory of an attempt without an end, in bytes, in all tables. It may outlive its request.
+constexpr std::size_t kOutstandingAttemptBytes = 1536;
+/// Memory of the record of an attempt that was written on a connection, in bytes.
+constexpr std::size_t kAttemptUseBytes = 192;
 /// Bodies are held twice: for a retry, and by the attempt that waits for a connection.
 constexpr std::size_t kBodyCopies = 2;
 /// The first request of a client may use this many times the memory that further ones may.
--- a/src/proxy/upstream/attempt_table.cpp
+++ b/src/proxy/upstream/attempt_table.cpp
@@ -5,6 +5,11 @@
 
 namespace edge_proxy::proxy {
 
+void AttemptTable::add(const AttemptKey& key, OutstandingAttempt attempt) {
+  attempts_[key] = std::move(attempt);
+  update_memory();
+}
+
 const OutstandingAttempt* AttemptTable::find(const AttemptKey& key) const {
   const auto found = attempts_.find(key);
   return found == attempts_.end() ? nullptr : &found->second;
@@ -21,6 +26,7 @@
   const auto found = attempts_.find(key);
   UpstreamRequest request = std::move(found->second.request);
   attempts_.erase(found);
+  update_memory();
   return {.request = std::move(request.request),
           .attempt = request.attempt,
           .endpoint = std::move(request.endpoint),
@@ -30,10 +36,16 @@
           .response = {}};
 }
 
+void AttemptTable::add_delayed_completion(AttemptCompletion completion) {
+  delayed_completions_.push_back(std::move(completion));
+  update_memory();
+}
+
 void AttemptTable::release_delayed_completion() {
   if (delayed_completions_.empty()) return;
   completions_.push_back(std::move(delayed_completions_.front()));
   delayed_completions_.pop_front();
+  update_memory();
 }
 
 std::optional<AttemptCompletion> AttemptTable::take_completion() {
--- a/src/proxy/upstream/attempt_table.h
+++ b/src/proxy/upstream/attempt_table.h
@@ -8,7 +8,9 @@
 #include <map>
 #include <optional>
 
+#include "proxy/memory_account.h"
 #include "proxy/reducer.h"
+#include "proxy/resource_limits.h"
 #include "proxy/upstream/upstream_request.h"
 
 namespace edge_proxy::proxy {
@@ -23,7 +25,9 @@
 /// Outstanding attempts by key, and two queues of completions: those ready to be taken and the delayed ones.
 class AttemptTable {
  public:
-  void add(const AttemptKey& key, OutstandingAttempt attempt) { attempts_[key] = std::move(attempt); }
+  explicit AttemptTable(MemoryAccount& memory) : memory_(memory, MemoryUse::requests) {}
+
+  void add(const AttemptKey& key, OutstandingAttempt attempt);
   /// Returns null if there is no attempt with this key or it has ended.
   [[nodiscard]] const OutstandingAttempt* find(const AttemptKey& key) const;
   [[nodiscard]] OutstandingAttempt& at(const AttemptKey& key) { return attempts_.at(key); }
@@ -36,9 +40,7 @@
   [[nodiscard]] AttemptCompletion remove(const AttemptKey& key, AttemptResult result, Time now);
   void add_completion(AttemptCompletion completion) { completions_.push_back(std::move(completion)); }
   /// Adds a completion that a later call of release_delayed_completion() makes available.
-  void add_delayed_completion(AttemptCompletion completion) {
-    delayed_completions_.push_back(std::move(completion));
-  }
+  void add_delayed_completion(AttemptCompletion completion);
   /// Makes the oldest delayed completion available.
   void release_delayed_completion();
   /// Removes and returns the oldest available completion.
@@ -48,9 +50,12 @@
   [[nodiscard]] std::size_t in_flight() const { return attempts_.size() + delayed_completions_.size(); }
 
  private:
+  void update_memory() { memory_.set(in_flight() * kOutstandingAttemptBytes); }
+
   std::map<AttemptKey, OutstandingAttempt> attempts_;
   std::deque<AttemptCompletion> completions_;
   std::deque<AttemptCompletion> delayed_completions_;
+  MemoryCharge memory_;  // of all outstanding attempts, also of those whose request has ended
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/upstream/connection_selection.cpp
+++ b/src/proxy/upstream/connection_selection.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t kMaxConnectionsPerEndpoint = 32;
 
 bool can_take(const UpstreamConnection& connection, const SelectionCriteria& criteria) {
-  return !connection.was_used_by(criteria.request) &&
+  return !connection.was_used_by(criteria.request) && !connection.has_too_many_unconfirmed() &&
          connection.attempt_count() < criteria.max_requests_per_connection &&
          !connection.is_unresponsive(criteria.now);
 }
--- a/src/proxy/upstream/upstream_connection.cpp
+++ b/src/proxy/upstream/upstream_connection.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: MIT
 #include "proxy/upstream/upstream_connection.h"
 
+#include <limits>
 #include <utility>
 
+#include "proxy/resource_limits.h"
+
 namespace edge_proxy::proxy {
 
 bool UpstreamConnection::is_idle() const {
@@ -41,8 +44,34 @@
 void UpstreamConnection::abandon_open_attempt(const std::string& request, bool send_cancel) {
   ++unanswered_count_;
   if (send_cancel) commands_ += codec::write_cancel(request);
+  // The cancel is written before all attempts that follow. Without it, only the answer ends the wait.
+  const std::uint64_t last_written = send_cancel ? request_count_ : std::numeric_limits<std::uint64_t>::max();
+  unconfirmed_.push_back({request, last_written});
+}
+
+void UpstreamConnection::add_use(const std::string& request, Time until) {
+  uses_[request] = {.number = request_count_, .until = until};
+  update_use_memory();
+}
+
+void UpstreamConnection::on_answered(const std::string& request) {
+  const auto found = uses_.find(request);
+  if (found == uses_.end()) return;
+  found->second.is_answered = true;
+  std::erase_if(unconfirmed_, [&request](const Unconfirmed& cancel) { return cancel.request == request; });
+  confirm_cancels_before(found->second.number);
 }
 
+void UpstreamConnection::confirm_cancels_before(std::uint64_t attempt_number) {
+  while (!unconfirmed_.empty() && unconfirmed_.front().last_written < attempt_number) {
+    const auto use = uses_.find(unconfirmed_.front().request);
+    if (use != uses_.end()) use->second.is_answered = true;
+    unconfirmed_.pop_front();
+  }
+}
+
+void UpstreamConnection::update_use_memory() { use_memory_.set(uses_.size() * kAttemptUseBytes); }
+
 // ---- Health checks ----
 
 void UpstreamConnection::queue_health_check(const std::string& tag, Time now) {
@@ -130,8 +159,13 @@
   return id.empty() ? !open_attempts_.empty() : open_attempts_.contains(std::string(id));
 }
 
-void UpstreamConnection::forget_expired_uses(Time now) {
-  std::erase_if(used_by_, [now](const auto& use) { return use.second <= now; });
+void UpstreamConnection::forget_ended_uses(Time now,
+                                           const std::function<bool(const std::string&)>& is_pending) {
+  std::erase_if(uses_, [&](const auto& use) {
+    return use.second.until <= now || (use.second.is_answered && !is_pending(use.first));
+  });
+  std::erase_if(unconfirmed_, [this](const Unconfirmed& cancel) { return !uses_.contains(cancel.request); });
+  update_use_memory();
 }
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/upstream/upstream_connection.h
+++ b/src/proxy/upstream/upstream_connection.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
 constexpr Time kSilenceLimit = std::chrono::seconds(1);
 /// A health check fails if no response arrives within this time.
 constexpr Time kHealthCheckTimeout = std::chrono::milliseconds(250);
+/// A connection takes no new attempts while this many abandoned ones may still be answered on it.
+constexpr std::size_t kMaxUnconfirmedAttempts = 128;
 
 /// Does no I/O; the pool writes the bytes that it takes from here.
 class UpstreamConnection {
@@ -35,7 +38,8 @@
         last_active_at_(now),
         last_received_at_(now),
         response_memory_(memory, MemoryUse::endpoint_responses),
-        write_memory_(memory, MemoryUse::requests) {}
+        write_memory_(memory, MemoryUse::requests),
+        use_memory_(memory, MemoryUse::requests) {}
 
   // ---- Properties ----
   [[nodiscard]] const std::string& endpoint() const { return endpoint_; }
@@ -56,8 +60,18 @@
   /// Whether attempts were written completely, so that unread bytes may contain their answers.
   [[nodiscard]] bool may_hold_unread_answers() const;
   [[nodiscard]] bool can_write() const { return is_connected_ && !is_writing_; }
-  /// Whether an attempt of this request was written here, and a client may still wait for the answer.
-  [[nodiscard]] bool was_used_by(const std::string& request) const { return used_by_.contains(request); }
+  /// Whether an attempt of a request with this id was written here, and its answer may still arrive or the
+  /// request may be pending. A new attempt here could receive the answer to that one.
+  [[nodiscard]] bool was_used_by(const std::string& request) const { return uses_.contains(request); }
+  /// Whether so many abandoned attempts may still be answered that the connection takes no new ones. It can
+  /// be closed once no other attempt is open.
+  [[nodiscard]] bool has_too_many_unconfirmed() const {
+    return unconfirmed_.size() >= kMaxUnconfirmedAttempts;
+  }
+  /// Number of entries in all tables.
+  [[nodiscard]] std::size_t table_entries() const {
+    return open_attempts_.size() + queued_attempts_.size() + health_checks_.size() + uses_.size();
+  }
   /// Number of attempts that are queued or without an answer.
   [[nodiscard]] std::size_t attempt_count() const { return open_attempts_.size() + queued_attempts_.size(); }
 
@@ -74,6 +88,10 @@
   void remove_open_attempt(const std::string& request) { open_attempts_.erase(request); }
   /// Abandons a written attempt, whose answer may still arrive.
   void abandon_open_attempt(const std::string& request, bool send_cancel);
+  /// Records that the answer to an attempt of this request has arrived, abandoned or not. Endpoints read
+  /// commands in order and answer no cancelled attempt, so that the cancels that were written before this
+  /// attempt are confirmed: their answers can't arrive any more.
+  void on_answered(const std::string& request);
 
   // ---- Health checks ----
   void queue_health_check(const std::string& tag, Time now);
@@ -89,8 +107,8 @@
   [[nodiscard]] std::string take_commands();
   /// Moves the first queued attempt to the open ones for this write; returns none if none is queued.
   [[nodiscard]] std::optional<AttemptKey> take_queued_attempt(Time now);
-  /// Sets the time until which was_used_by() holds for the request.
-  void set_used_until(const std::string& request, Time until) { used_by_[request] = until; }
+  /// Records that the attempt taken last is written. `until`: no client waits for its answer any longer.
+  void add_use(const std::string& request, Time until);
   /// `size`: number of bytes that are written.
   void on_write_started(std::size_t size, Time now);
   void on_write_drained();
@@ -111,10 +129,26 @@
   /// Marks the connection as closing for this reason after the bytes that have arrived are read.
   void retire(CloseReason reason) { retired_for_ = reason; }
   [[nodiscard]] std::optional<CloseReason> retired_for() const { return retired_for_; }
-  /// Removes the uses by requests for which no client waits any longer.
-  void forget_expired_uses(Time now);
+  /// Forgets the uses that nothing needs any more: those whose time has passed, and answered ones whose
+  /// request `is_pending` denies.
+  void forget_ended_uses(Time now, const std::function<bool(const std::string&)>& is_pending);
 
  private:
+  /// An attempt that was written on this connection.
+  struct Use {
+    std::uint64_t number = 0;  ///< in the order of writing, from 1
+    Time until{0};             ///< no client waits for the answer any longer
+    bool is_answered = false;  ///< or its cancel is confirmed
+  };
+  /// A cancelled attempt whose cancel is not confirmed.
+  struct Unconfirmed {
+    std::string request;
+    std::uint64_t last_written = 0;  ///< number of the attempt that was written last before the cancel
+  };
+
+  void confirm_cancels_before(std::uint64_t attempt_number);
+  void update_use_memory();
+
   /// Whether an answer is due.
   [[nodiscard]] bool awaits_answer() const { return unanswered_count_ > 0 || !open_attempts_.empty(); }
 
@@ -132,11 +166,13 @@
   Time response_started_at_{0};
   MemoryCharge response_memory_;              // the incomplete response
   MemoryCharge write_memory_;                 // the bytes that are being written
+  MemoryCharge use_memory_;                   // the uses and unconfirmed cancels
   std::map<std::string, int> open_attempts_;  // attempt numbers by request
   std::deque<AttemptKey> queued_attempts_;
   std::string commands_;                       // cancels and health checks to be written
   std::map<std::string, Time> health_checks_;  // send times by tag
-  std::map<std::string, Time> used_by_;        // end of the wait for the answer, by request
+  std::map<std::string, Use> uses_;            // by request
+  std::deque<Unconfirmed> unconfirmed_;        // oldest first
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -47,6 +47,7 @@
       supports_cancel_(config.settings.cancellation),
       is_pending_(std::move(is_pending)),
       endpoint_memory_(context.memory, MemoryUse::endpoints),
+      attempts_(context.memory),
       written_by_class_(config.settings.classes.size()) {}
 
 // ---- Endpoints ----
@@ -213,6 +214,12 @@
   context_.timers.add(context_.now + kCancelDelay, {TimerKind::delayed_completion, {}, 0, 0});
 }
 
+std::size_t UpstreamPool::table_entries() const {
+  std::size_t entries = attempts_in_flight();
+  for (const auto& [id, connection] : connections_) entries += connection.table_entries();
+  return entries;
+}
+
 bool UpstreamPool::take_completion(AttemptCompletion& completion) {
   auto oldest = attempts_.take_completion();
   if (oldest) completion = std::move(*oldest);
@@ -289,7 +296,7 @@
   if (!key) return {};
   OutstandingAttempt& attempt = attempts_.at(*key);
   attempt.is_written = true;
-  connection.set_used_until(key->request, attempt.request.expires_at);
+  connection.add_use(key->request, attempt.request.expires_at);
   ++written_by_class_.at(attempt.request.request_class);
   std::string bytes = encode(attempt.request, context_.now);
   attempt.request.body.clear();
@@ -320,6 +327,7 @@
     if (duration) health_checks_.add_response(connection.endpoint(), response, *duration);
     return;
   }
+  connection.on_answered(response.id);
   const auto key = connection.find_open_attempt(response.id);
   if (!key) return;  // a late response to an attempt that was abandoned
   const AttemptResult result = result_of(response.status);
@@ -406,7 +414,7 @@
   std::vector<Expired> expired;
   for (auto& [id, connection] : connections_) {
     health_checks_.add_failures(connection.endpoint(), connection.take_expired_health_checks(context_.now));
-    connection.forget_expired_uses(context_.now);
+    connection.forget_ended_uses(context_.now, is_pending_);
     if (const auto reason = expiry_of(connection)) expired.push_back({id, *reason});
   }
   for (const auto& [id, reason] : expired) close(id, reason, ClosedBy::proxy);
@@ -416,6 +424,7 @@
 std::optional<CloseReason> UpstreamPool::expiry_of(const UpstreamConnection& connection) const {
   if (!connection.is_idle() || !connection.is_connected()) return std::nullopt;
   if (connection.is_unresponsive(context_.now)) return CloseReason::silent;
+  if (connection.has_too_many_unconfirmed()) return CloseReason::unconfirmed_cancels;
   if (!endpoints_.accepts_attempts(connection.endpoint())) return CloseReason::endpoint_left;
   if (context_.now - connection.last_active_at() >= idle_timeout_) return CloseReason::idle;
   return std::nullopt;
--- a/src/proxy/upstream/upstream_pool.h
+++ b/src/proxy/upstream/upstream_pool.h
@@ -56,6 +56,8 @@
   void release_delayed_completion() { attempts_.release_delayed_completion(); }
   /// Number of attempts without a completion.
   [[nodiscard]] std::size_t attempts_in_flight() const { return attempts_.in_flight(); }
+  /// Number of entries in the tables of attempts and of all connections.
+  [[nodiscard]] std::size_t table_entries() const;
   /// Number of attempts written so far, by request class.
   [[nodiscard]] const std::vector<std::uint64_t>& written_by_class() const { return written_by_class_; }
 
