Reserve memory for answers at admission and never shed those of readers

Cause: answers were judged by limits when they came. Both are one lack, nothing reserved at admission, hence one commit.

Change: each accepted request reserves memory for its reply, sized by what the client states times a learnt factor; the reservation covers the cache's partial response too. Bytes count as read once the system takes them (WriteProgressed). The limit on unread bytes is gone; only clients that have read nothing for 1 s are disconnected, while memory is short. ProxyGolden's trace has a text for the new input, no record changes.

--- a/src/event_loop/connection.cpp
+++ b/src/event_loop/connection.cpp
@@ -93,6 +93,7 @@
                                       nullptr, error.out_ptr());
     if (size >= 0) {
       written_ += static_cast<std::size_t>(size);
+      written_bytes_ += static_cast<std::size_t>(size);
       continue;
     }
     if (error.matches(G_IO_ERROR_WOULD_BLOCK)) return FlushResult::blocked;
--- a/src/event_loop/connection.h
+++ b/src/event_loop/connection.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "event_loop/glib_ptr.h"
 #include "event_loop/poller.h"
@@ -64,6 +65,8 @@
   [[nodiscard]] bool append(std::string bytes);
   /// Writes as much as the socket accepts.
   FlushResult flush();
+  /// Returns how many bytes the system has taken since the last call.
+  [[nodiscard]] std::size_t take_written_bytes() { return std::exchange(written_bytes_, 0); }
   /// Shuts down the sending direction once the write buffer is empty.
   void shutdown_write();
 
@@ -81,6 +84,7 @@
   bool shutdown_requested_ = false;
   bool write_closed_ = false;
   std::deque<std::string> output_;  ///< in pieces, so that appending neither copies nor reserves memory
+  std::size_t written_bytes_ = 0;   ///< since the last call of take_written_bytes()
   std::size_t written_ = 0;         ///< bytes of the first piece already passed to the kernel
 };
 
--- a/src/event_loop/server.cpp
+++ b/src/event_loop/server.cpp
@@ -259,8 +259,13 @@
 }
 
 void Server::flush(Connection& connection) {
-  if (connection.flush() == Connection::FlushResult::drained)
+  const Connection::FlushResult result = connection.flush();
+  const std::size_t written_bytes = connection.take_written_bytes();
+  if (result == Connection::FlushResult::drained) {
     pending_inputs_.emplace_back(proxy::WriteDrained{connection.id()});
+  } else if (written_bytes > 0 && connection.is_accepted()) {
+    pending_inputs_.emplace_back(proxy::WriteProgressed{connection.id(), written_bytes});
+  }
   connection.update_watch(poller_);
 }
 
--- a/src/proxy/client/client_call_handler.cpp
+++ b/src/proxy/client/client_call_handler.cpp
@@ -42,13 +42,12 @@
 
 void ClientCallHandler::close_expired() { cancel(dependencies_.connections.close_expired()); }
 
-void ClientCallHandler::shed_excess_memory() {
-  const MemoryAccount& memory = dependencies_.memory;
-  if (memory.is_exceeded(MemoryUse::client_messages)) shed_incomplete_messages();
-  if (memory.is_exceeded(MemoryUse::client_replies)) cancel(dependencies_.connections.close_excess_readers());
+void ClientCallHandler::shed_stalled_readers() {
+  if (dependencies_.memory.is_over_limit()) cancel(dependencies_.connections.close_stalled_readers());
 }
 
 void ClientCallHandler::shed_incomplete_messages() {
+  if (!dependencies_.memory.is_exceeded(MemoryUse::client_messages)) return;
   ClientConnections& connections = dependencies_.connections;
   for (const ConnectionId client : connections.with_incomplete_message()) {
     if (!dependencies_.memory.is_exceeded(MemoryUse::client_messages)) return;
@@ -91,13 +90,13 @@
 void ClientCallHandler::handle(ConnectionId client, const ReadinessCheck& call) {
   const bool is_ready = dependencies_.readiness.is_ready();
   ClientProtocol& protocol = *dependencies_.connections.protocol(client);
-  dependencies_.connections.reply(client, protocol.readiness_reply(call.id, is_ready));
+  dependencies_.connections.reply(client, protocol.readiness_reply(call.id, is_ready), ReplyTo::other_call);
 }
 
 void ClientCallHandler::handle(ConnectionId client, const UnknownMethod& call) {
   if (!call.wants_reply) return;
   ClientProtocol& protocol = *dependencies_.connections.protocol(client);
-  dependencies_.connections.reply(client, protocol.unknown_method_reply(call));
+  dependencies_.connections.reply(client, protocol.unknown_method_reply(call), ReplyTo::other_call);
 }
 
 /// Drains a connection whose stream can't be parsed any further; the client can still read the last reply,
--- a/src/proxy/client/client_call_handler.h
+++ b/src/proxy/client/client_call_handler.h
@@ -36,16 +36,17 @@
   void on_closed(ConnectionId client, CloseReason reason);
   /// Closes the connections whose time limits have expired, and cancels their requests.
   void close_expired();
-  /// Discards incomplete messages and closes clients that do not read, until both are within their memory.
-  /// Open requests of a client that loses its message get their answers first.
-  void shed_excess_memory();
+  /// Discards incomplete messages until they are within their memory. Open requests of a client that loses
+  /// its message get their answers first.
+  void shed_incomplete_messages();
+  /// Closes clients that have stopped reading until all that peers hold is within the memory limit.
+  void shed_stalled_readers();
 
  private:
   void handle(ConnectionId client, ObjectRequest& call);
   void handle(ConnectionId client, const CancelRequest& call);
   void handle(ConnectionId client, const ReadinessCheck& call);
   void handle(ConnectionId client, const UnknownMethod& call);
-  void shed_incomplete_messages();
   void reject(ConnectionId client, const ObjectRequest& call, RejectionReason reason);
   void close_malformed_stream(ConnectionId client);
   void cancel(const std::vector<std::string>& requests);
--- a/src/proxy/client/client_connections.cpp
+++ b/src/proxy/client/client_connections.cpp
@@ -96,35 +96,51 @@
   return found == connections_.end() ? nullptr : found->second.protocol.get();
 }
 
-void ClientConnections::reply(ConnectionId id, std::string bytes) {
+void ClientConnections::reply(ConnectionId id, std::string bytes, ReplyTo call) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   ClientConnection& client = found->second;
   client.active_at = context_.now;
-  client.reply_memory.set(client.reply_memory.bytes() + bytes.size());
-  client.is_writing = true;
+  client.replies.add(bytes.size(), call, context_.now);
   context_.write(id, std::move(bytes));
 }
 
 void ClientConnections::on_write_drained(ConnectionId id) {
   ClientConnection& client = connections_.at(id);
   client.active_at = context_.now;
-  client.reply_memory.set(0);
-  client.is_writing = false;
+  client.replies.on_drained();
+}
+
+void ClientConnections::on_write_progressed(ConnectionId id, std::size_t bytes) {
+  connections_.at(id).replies.on_progress(bytes, context_.now);
 }
 
 bool ClientConnections::is_backed_up(ConnectionId id) const {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return false;
-  return found->second.reply_memory.bytes() > context_.limits.reject_unsent_bytes ||
+  return found->second.replies.unread_bytes() > context_.limits.reject_unsent_bytes ||
          found->second.open_calls.size() >= kMaxOpenCallsPerConnection;
 }
 
-bool ClientConnections::has_room_for_reply(ConnectionId id, std::size_t bytes) const {
+bool ClientConnections::can_reserve_reply(ConnectionId id, std::size_t bytes) const {
+  const MemoryAccount& memory = context_.memory;
+  const ClientConnection& client = connections_.at(id);
+  if (client.open_calls.empty()) {
+    return memory.has_room_for(MemoryUse::client_replies, bytes, kFirstRequestMemoryMultiple);
+  }
+  const std::size_t free = memory.free_bytes() - std::min(memory.free_bytes(), bytes);
+  return memory.has_room_for(MemoryUse::client_replies, bytes) &&
+         client.replies.held_bytes() + bytes <= kMaxClientRepliesToFreeMemory * free;
+}
+
+bool ClientConnections::has_room_for_reply(ConnectionId id, CallId call, std::size_t bytes) const {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return true;
-  return found->second.reply_memory.bytes() == 0 ||
-         context_.memory.has_room_for(MemoryUse::client_replies, bytes);
+  const auto open_call = found->second.open_calls.find(call);
+  if (open_call == found->second.open_calls.end()) return true;
+  const std::size_t reserved = open_call->second.reply_bytes;
+  return bytes <= reserved || context_.memory.has_room_for(MemoryUse::client_replies, bytes - reserved,
+                                                           kFirstRequestMemoryMultiple);
 }
 
 bool ClientConnections::has_open_call(ConnectionId id, CallId call) const {
@@ -141,7 +157,7 @@
                                                   std::string last_reply) {
   const auto found = connections_.find(id);
   if (found == connections_.end() || found->second.draining_for) return {};
-  if (!last_reply.empty()) reply(id, std::move(last_reply));
+  if (!last_reply.empty()) reply(id, std::move(last_reply), ReplyTo::other_call);
   context_.shutdown_write(id);
   ClientConnection& client = found->second;
   client.draining_for = reason;
@@ -150,14 +166,19 @@
   draining_.push_back(id);
   client.active_at = context_.now;
   std::vector<std::string> open_requests;
-  for (const auto& [call, request] : std::exchange(client.open_calls, {})) open_requests.push_back(request);
+  for (const auto& [id_of_call, call] : std::exchange(client.open_calls, {})) {
+    client.replies.release(call.reply_bytes);
+    open_requests.push_back(call.request);
+  }
   return open_requests;
 }
 
-void ClientConnections::add_open_call(ConnectionId id, CallId call, const std::string& request) {
+void ClientConnections::add_open_call(ConnectionId id, CallId call, const std::string& request,
+                                      std::size_t reply_bytes) {
   ClientConnection& client = connections_.at(id);
   ++client.request_count;
-  client.open_calls[call] = request;
+  client.open_calls[call] = {request, reply_bytes};
+  client.replies.reserve(reply_bytes);
 }
 
 std::string ClientConnections::remove_open_call(ConnectionId id, CallId call) {
@@ -166,7 +187,8 @@
   auto& open_calls = found->second.open_calls;
   const auto open_call = open_calls.find(call);
   if (open_call == open_calls.end()) return {};
-  std::string request = std::move(open_call->second);
+  std::string request = std::move(open_call->second.request);
+  found->second.replies.release(open_call->second.reply_bytes);
   open_calls.erase(open_call);
   return request;
 }
@@ -176,9 +198,9 @@
   if (found == connections_.end()) return {};
   const ClientConnection& client = found->second;
   std::vector<std::string> open_requests;
-  for (const auto& [call, request] : client.open_calls) open_requests.push_back(request);
+  for (const auto& [call_id, call] : client.open_calls) open_requests.push_back(call.request);
   if (client.draining_for) std::erase(draining_, id);
-  context_.log_closed({"front", id, client.opened_at, client.request_count, {}},
+  context_.log_closed({"front", id, client.opened_at, client.request_count, {}, unread_details(client)},
                       client.draining_for.value_or(reason), closed_by);
   connections_.erase(found);
   return open_requests;
@@ -195,6 +217,7 @@
   }
   for (const auto& [id, reason] : to_drain) drain(id, reason);
   std::vector<std::string> open_requests;
+  is_reply_memory_short_ = false;
   for (const auto& [id, reason] : to_close) {
     for (std::string& request : close(id, reason, ClosedBy::proxy)) {
       open_requests.push_back(std::move(request));
@@ -209,7 +232,7 @@
     if (inactive < kDrainTimeout) return std::nullopt;
     return Expiry{*client.draining_for, CloseMode::close};
   }
-  if (exceeds_unread_limits(client, inactive)) return Expiry{CloseReason::backlog, CloseMode::close};
+  if (const auto reason = unread_limit_exceeded(client, inactive)) return Expiry{*reason, CloseMode::close};
   // Clients that send nothing or an incomplete message must not hold descriptors.
   const bool awaits_message = client.message_started_at.count() != 0 && client.open_calls.empty();
   if (awaits_message && context_.now - client.message_started_at >= kMessageTimeout) {
@@ -220,35 +243,50 @@
   return std::nullopt;
 }
 
-/// Clients that send requests but never read the replies must not hold memory and descriptors.
-bool ClientConnections::exceeds_unread_limits(const ClientConnection& client, Time inactive) const {
-  if (client.reply_memory.bytes() > context_.limits.disconnect_unsent_bytes) return true;
-  return client.is_writing && client.open_calls.empty() && inactive >= context_.limits.unread_timeout;
+/// Clients that send requests but never read the replies must not hold memory and descriptors. Replies to
+/// accepted requests are bounded by their reservations, so that only others can be too many.
+std::optional<CloseReason> ClientConnections::unread_limit_exceeded(const ClientConnection& client,
+                                                                    Time inactive) const {
+  if (client.replies.unreserved_bytes() > kMaxUnreservedReplyBytes) return CloseReason::backlog;
+  const Time stalled = client.replies.stalled_for(context_.now);
+  if (is_reply_memory_short_ && stalled >= kStalledReaderTimeout) return CloseReason::memory_limit;
+  const bool is_waiting = client.replies.is_writing() && client.open_calls.empty();
+  if (is_waiting && inactive >= context_.limits.unread_timeout) return CloseReason::backlog;
+  return std::nullopt;
 }
 
-ConnectionId ClientConnections::connection_with_most_unsent() const {
-  const auto most =
-      std::max_element(connections_.begin(), connections_.end(), [](const auto& one, const auto& other) {
-        const auto order = [](const ClientConnection& client) {
-          const std::size_t unsent = client.reply_memory.bytes();
-          return std::pair(unsent > 0 && client.open_calls.empty(), unsent);
-        };
-        return order(one.second) < order(other.second);
+std::optional<ConnectionId> ClientConnections::longest_stalled_reader() const {
+  const auto longest =
+      std::max_element(connections_.begin(), connections_.end(), [this](const auto& one, const auto& other) {
+        return one.second.replies.stalled_for(context_.now) < other.second.replies.stalled_for(context_.now);
       });
-  return most->first;
+  if (longest == connections_.end()) return std::nullopt;
+  if (longest->second.replies.stalled_for(context_.now) < kStalledReaderTimeout) return std::nullopt;
+  return longest->first;
 }
 
-std::vector<std::string> ClientConnections::close_excess_readers() {
+std::vector<std::string> ClientConnections::close_stalled_readers() {
   std::vector<std::string> open_requests;
-  while (context_.memory.is_exceeded(MemoryUse::client_replies)) {
-    for (std::string& request :
-         close(connection_with_most_unsent(), CloseReason::memory_limit, ClosedBy::proxy)) {
+  while (context_.memory.is_over_limit()) {
+    const std::optional<ConnectionId> id = longest_stalled_reader();
+    if (!id) break;
+    for (std::string& request : close(*id, CloseReason::memory_limit, ClosedBy::proxy)) {
       open_requests.push_back(std::move(request));
     }
   }
   return open_requests;
 }
 
+/// Returns the fields of the log that show whether the client was still reading.
+std::string ClientConnections::unread_details(const ClientConnection& client) const {
+  if (!client.replies.is_writing()) return {};
+  const auto stalled =
+      std::chrono::duration_cast<std::chrono::milliseconds>(client.replies.stalled_for(context_.now));
+  return " unread_bytes=" + std::to_string(client.replies.unread_bytes()) +
+         " open=" + std::to_string(client.open_calls.size()) +
+         " stalled_ms=" + std::to_string(stalled.count());
+}
+
 std::vector<ConnectionId> ClientConnections::with_incomplete_message() const {
   struct Holder {
     bool has_requests;
@@ -283,7 +321,7 @@
   std::vector<std::string> requests;
   const auto found = connections_.find(id);
   if (found == connections_.end()) return requests;
-  for (const auto& [call, request] : found->second.open_calls) requests.push_back(request);
+  for (const auto& [call_id, call] : found->second.open_calls) requests.push_back(call.request);
   return requests;
 }
 
--- a/src/proxy/client/client_connections.h
+++ b/src/proxy/client/client_connections.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "proxy/client/client_protocol.h"
+#include "proxy/client/reply_backlog.h"
 #include "proxy/context.h"
 
 namespace edge_proxy::proxy {
@@ -31,13 +32,20 @@
 
   /// Returns null if the connection is closed or draining.
   ClientProtocol* protocol(ConnectionId id);
-  void reply(ConnectionId id, std::string bytes);
+  /// Writes a reply. A call that is not an open one has no reservation: its reply is a `ReplyTo::other_call`.
+  void reply(ConnectionId id, std::string bytes, ReplyTo call);
+  /// The system has taken all bytes that were written to the client.
   void on_write_drained(ConnectionId id);
+  /// The system has taken some of them.
+  void on_write_progressed(ConnectionId id, std::size_t bytes);
   /// Whether the client has too many open calls or too many unread bytes for another request to be accepted.
   [[nodiscard]] bool is_backed_up(ConnectionId id) const;
-  /// Whether a reply of this size may be held for the client until it reads it. A client that has read all
-  /// replies may always get one.
-  [[nodiscard]] bool has_room_for_reply(ConnectionId id, std::size_t bytes) const;
+  /// Whether memory for a reply of this size can be reserved for the client. A client without an open call
+  /// may use more of it, so that clients with many requests are rejected before others.
+  [[nodiscard]] bool can_reserve_reply(ConnectionId id, std::size_t bytes) const;
+  /// Whether the reply to an open call may have this size: it is within the call's reservation, or there is
+  /// memory for the rest.
+  [[nodiscard]] bool has_room_for_reply(ConnectionId id, CallId call, std::size_t bytes) const;
   /// Returns the connections with incomplete messages in the order in which they lose them if they take too
   /// much memory: those without an accepted request first, and of these the one whose message has taken the
   /// most memory for the longest time, in byte seconds.
@@ -48,12 +56,18 @@
   void stop_reading(ConnectionId id);
   /// Returns the requests that are open on the connection.
   [[nodiscard]] std::vector<std::string> open_requests(ConnectionId id) const;
-  /// Closes clients until the unread replies are within their memory, the one with most unread bytes first,
-  /// but clients without an open call before all others. Returns the requests that were open on them.
-  std::vector<std::string> close_excess_readers();
+  /// Closes clients that have stopped reading, the one that has read nothing for the longest time first,
+  /// until all that peers hold is within the memory limit. Clients that go on reading keep their answers, for
+  /// which memory was reserved. Returns the requests that were open on the closed ones.
+  std::vector<std::string> close_stalled_readers();
+  /// Records that a request was rejected since its reply might not fit: clients that have stopped reading are
+  /// disconnected earlier until the next sweep.
+  void on_reply_memory_short() { is_reply_memory_short_ = true; }
 
-  void add_open_call(ConnectionId id, CallId call, const std::string& request);
-  /// Removes an open call and returns the id of its request; empty if there is no such call.
+  /// `reply_bytes`: the memory that is reserved for the reply until the call is removed.
+  void add_open_call(ConnectionId id, CallId call, const std::string& request, std::size_t reply_bytes);
+  /// Removes an open call with its reservation and returns the id of its request; empty if there is no such
+  /// call.
   std::string remove_open_call(ConnectionId id, CallId call);
 
   [[nodiscard]] bool has_open_call(ConnectionId id, CallId call) const;
@@ -81,10 +95,13 @@
   [[nodiscard]] bool empty() const { return connections_.empty(); }
 
  private:
+  struct OpenCall {
+    std::string request;
+    std::size_t reply_bytes = 0;  ///< reserved for the reply
+  };
   struct ClientConnection {
     explicit ClientConnection(MemoryAccount& memory)
-        : message_memory(memory, MemoryUse::client_messages),
-          reply_memory(memory, MemoryUse::client_replies) {}
+        : message_memory(memory, MemoryUse::client_messages), replies(memory) {}
 
     std::unique_ptr<ClientProtocol> protocol;  ///< null if nothing more is read
     Time opened_at{0}, active_at{0};
@@ -94,13 +111,12 @@
     std::size_t discarded_bytes = 0;
     std::uint64_t request_count = 0;
     MemoryCharge message_memory;  ///< the incomplete message
-    MemoryCharge reply_memory;    ///< the replies that the client has not read
-    bool is_writing = false;
-    std::map<CallId, std::string> open_calls;
+    ReplyBacklog replies;
+    std::map<CallId, OpenCall> open_calls;
   };
 
   [[nodiscard]] static bool is_idle(const ClientConnection& client) {
-    return client.open_calls.empty() && !client.is_writing;
+    return client.open_calls.empty() && !client.replies.is_writing();
   }
   enum class CloseMode : std::uint8_t { drain, close };
   /// The reason and the way in which an expired connection is closed.
@@ -109,8 +125,10 @@
     CloseMode mode;
   };
   [[nodiscard]] std::optional<Expiry> expiry_of(const ClientConnection& client) const;
-  [[nodiscard]] bool exceeds_unread_limits(const ClientConnection& client, Time inactive) const;
-  [[nodiscard]] ConnectionId connection_with_most_unsent() const;
+  [[nodiscard]] std::optional<CloseReason> unread_limit_exceeded(const ClientConnection& client,
+                                                                 Time inactive) const;
+  [[nodiscard]] std::optional<ConnectionId> longest_stalled_reader() const;
+  [[nodiscard]] std::string unread_details(const ClientConnection& client) const;
   /// The order of eviction: connections of the lowest rank are closed first.
   [[nodiscard]] int eviction_rank(const ClientConnection& client) const;
   /// Returns the connection to close in favour of a new one; none if all are busy.
@@ -120,6 +138,7 @@
   Context& context_;
   std::map<ConnectionId, ClientConnection> connections_;
   std::deque<ConnectionId> draining_;  // oldest first
+  bool is_reply_memory_short_ = false;
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/client/pending_requests.cpp
+++ b/src/proxy/client/pending_requests.cpp
@@ -140,6 +140,7 @@
   if (answer_deadline) request.expires = std::min(request.expires, *answer_deadline);
   request.write = request_class.uncacheable;
   request.client_retry = fields.text("second") == "1";
+  pending.reply_bytes = reply_sizes_.reply_bytes(class_index, request.size_kb);
   pending.client = client;
   pending.call_id = call.id;
   pending.body = std::move(call.body);
@@ -150,15 +151,18 @@
   return kPendingRequestBytes + kBodyCopies * request.body.size();
 }
 
-bool PendingRequests::has_room_for(const PendingRequest& request) const {
+bool PendingRequests::has_room_for(const PendingRequest& request) {
   const std::size_t multiple = clients_.has_open_calls(request.client) ? 1 : kFirstRequestMemoryMultiple;
   const std::size_t bytes = memory_of(request) + kOutstandingAttemptBytes;
-  return context_.memory.has_room_for(MemoryUse::requests, bytes, multiple);
+  if (!context_.memory.has_room_for(MemoryUse::requests, bytes, multiple)) return false;
+  if (clients_.can_reserve_reply(request.client, request.reply_bytes)) return true;
+  clients_.on_reply_memory_short();
+  return false;
 }
 
 void PendingRequests::add(PendingRequest request) {
   memory_.set(memory_.bytes() + memory_of(request));
-  clients_.add_open_call(request.client, request.call_id, request.request.id);
+  clients_.add_open_call(request.client, request.call_id, request.request.id, request.reply_bytes);
   std::string id = request.request.id;
   pending_.emplace(std::move(id), std::move(request));
 }
@@ -190,7 +194,7 @@
   release(found);
   clients_.remove_open_call(client, call);
   ClientProtocol* protocol = clients_.protocol(client);
-  if (protocol != nullptr) clients_.reply(client, make_reply(*protocol, call));
+  if (protocol != nullptr) clients_.reply(client, make_reply(*protocol, call), ReplyTo::accepted_request);
 }
 
 void PendingRequests::served(const std::string& request, const codec::CacheResponse& answer) {
@@ -200,10 +204,15 @@
 
 void PendingRequests::served(const std::string& request, const ServedResponse& response) {
   const PendingRequest* pending = find(request);
-  if (pending != nullptr && !clients_.has_room_for_reply(pending->client, response.body.size())) {
+  if (pending == nullptr) return;
+  if (!clients_.has_room_for_reply(pending->client, pending->call_id, response.body.size())) {
     failed(request);
     return;
   }
+  if (!response.not_modified) {
+    const auto request_class = static_cast<std::size_t>(pending->request.request_class);
+    reply_sizes_.record(request_class, pending->request.size_kb, response.body.size());
+  }
   finish(request, FinalAnswer::served, [&response](ClientProtocol& protocol, CallId call) {
     ClientFields fields;
     if (response.not_modified) fields.emplace_back("unchanged", "1");
@@ -229,13 +238,14 @@
 
 void PendingRequests::reject_unaccepted(ConnectionId client, const ObjectRequest& call) {
   count(class_of(call), FinalAnswer::rejected);
-  clients_.reply(client, clients_.protocol(client)->rejected_reply(
-                             call.id, retry_after_fields(settings_.max_retry_after)));
+  std::string reply =
+      clients_.protocol(client)->rejected_reply(call.id, retry_after_fields(settings_.max_retry_after));
+  clients_.reply(client, std::move(reply), ReplyTo::other_call);
 }
 
 void PendingRequests::fail_unaccepted(ConnectionId client, const ObjectRequest& call) {
   count(class_of(call), FinalAnswer::failed);
-  clients_.reply(client, clients_.protocol(client)->failed_reply(call.id));
+  clients_.reply(client, clients_.protocol(client)->failed_reply(call.id), ReplyTo::other_call);
 }
 
 ClientFields PendingRequests::retry_after_fields(Time delay) const {
--- a/src/proxy/client/pending_requests.h
+++ b/src/proxy/client/pending_requests.h
@@ -13,6 +13,7 @@
 
 #include "codec/cache_lines.h"
 #include "proxy/client/client_connections.h"
+#include "proxy/client/reply_size_estimate.h"
 #include "proxy/context.h"
 
 namespace edge_proxy::proxy {
@@ -28,6 +29,7 @@
   std::string client_entity_tag;  ///< entity tag of the client's copy; empty: none
   std::string body;
   Request request;
+  std::size_t reply_bytes = 0;  ///< reserved for the answer
   int attempt_count = 0;
   std::uint64_t accepted_epoch = 0;  ///< policy epoch under which the request was accepted
 };
@@ -53,6 +55,7 @@
         clients_(clients),
         settings_(settings),
         memory_(context.memory, MemoryUse::requests),
+        reply_sizes_(settings.classes.size()),
         answer_counts_(settings.classes.size()) {}
 
   /// Parses the request of a call; returns none if a field is missing, malformed or out of bounds. On
@@ -60,9 +63,10 @@
   /// shutdown sets one in addition to the client's limit.
   std::optional<PendingRequest> read(ConnectionId client, ObjectRequest& call,
                                      std::optional<Time> answer_deadline) const;
-  /// Whether the request fits into the memory for requests. A client without an open request may use more of
-  /// it, so that clients with many requests are rejected before others.
-  [[nodiscard]] bool has_room_for(const PendingRequest& request) const;
+  /// Whether the request fits into the memory for requests, and its answer into that for replies. A client
+  /// without an open request may use more of it, so that clients with many requests are rejected before
+  /// others.
+  [[nodiscard]] bool has_room_for(const PendingRequest& request);
   void add(PendingRequest request);
   PendingRequest* find(const std::string& request);
   /// Removes a request without an answer. Returns whether it was pending.
@@ -108,6 +112,7 @@
   const Settings& settings_;
   std::map<std::string, PendingRequest> pending_;
   MemoryCharge memory_;  // of all pending requests
+  ReplySizeEstimate reply_sizes_;
   std::vector<AnswerCounts> answer_counts_;
 };
 
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -32,7 +32,7 @@
                      " requests=" + std::to_string(record.request_count) +
                      " lived_ms=" + std::to_string((now - record.opened_at).count() / 1000);
   if (!record.endpoint.empty()) line += " member=" + record.endpoint;
-  log(std::move(line));
+  log(line + record.details);
 }
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -61,7 +61,8 @@
   ConnectionId id = 0;
   Time opened_at{0};
   std::uint64_t request_count = 0;
-  std::string endpoint;  ///< set for a connection to an endpoint
+  std::string endpoint;   ///< set for a connection to an endpoint
+  std::string details{};  ///< further fields, each after a space
 };
 
 /// The bytes of connections with priority `high` are read before those of all other ready sockets.
--- a/src/proxy/inputs.h
+++ b/src/proxy/inputs.h
@@ -3,6 +3,7 @@
 /// The inputs of the edge proxy's reducer, which the event loop feeds.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -33,6 +34,11 @@
 struct WriteDrained {
   ConnectionId connection = 0;
 };
+/// The system has taken some of the bytes that are to be written on a client's connection; others remain.
+struct WriteProgressed {
+  ConnectionId connection = 0;
+  std::size_t bytes = 0;
+};
 /// A connection that the reducer requested is open.
 struct Connected {
   ConnectionId connection = 0;
@@ -80,8 +86,9 @@
   std::vector<consensus::AdminReply> admin_replies;
   std::uint64_t own_raft_id = 0;  ///< Raft id of this proxy
 };
-using Input = std::variant<Accepted, DescriptorsExhausted, BytesArrived, WriteDrained, Connected,
-                           ConnectFailed, ConnectionClosed, LoopTimerExpired, ShutdownRequested, Reloaded,
-                           ReloadFailed, OverridesLoaded, MembershipReady, MembershipInput, ConsensusOutput>;
+using Input =
+    std::variant<Accepted, DescriptorsExhausted, BytesArrived, WriteDrained, WriteProgressed, Connected,
+                 ConnectFailed, ConnectionClosed, LoopTimerExpired, ShutdownRequested, Reloaded, ReloadFailed,
+                 OverridesLoaded, MembershipReady, MembershipInput, ConsensusOutput>;
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/memory_account.cpp
+++ b/src/proxy/memory_account.cpp
@@ -15,7 +15,7 @@
 
 /// In the order of MemoryUse. Replies and responses get most, since each is as large as an object. The number
 /// of endpoints is bounded by ResourceLimits instead.
-constexpr std::array<Growth, kMemoryUseCount> kGrowth{{{1, 1}, {1, 1}, {3, 1}, {2, 1}, {1, 4}, {1, 1}}};
+constexpr std::array<Growth, kMemoryUseCount> kGrowth{{{1, 1}, {1, 1}, {3, 2}, {2, 1}, {1, 4}, {1, 1}}};
 
 constexpr std::array<std::string_view, kMemoryUseCount> kNames{
     "client_messages", "requests", "client_replies", "endpoint_responses", "admin_calls", "endpoints"};
--- a/src/proxy/memory_account.h
+++ b/src/proxy/memory_account.h
@@ -17,7 +17,7 @@
 enum class MemoryUse : std::uint8_t {
   client_messages,     ///< incomplete messages of clients
   requests,            ///< accepted requests, and their bodies until an endpoint has read them
-  client_replies,      ///< replies that clients have not read
+  client_replies,      ///< replies that clients have not read, and reservations for those to come
   endpoint_responses,  ///< incomplete responses of endpoints
   admin_calls,         ///< incomplete calls of operators, and replies to them
   endpoints            ///< the endpoint list, in all tables
@@ -47,6 +47,9 @@
   [[nodiscard]] bool has_room_for(MemoryUse use, std::size_t bytes, std::size_t multiple = 1) const {
     return held(use) + bytes <= multiple * allowance_of(use, total_ + bytes);
   }
+  [[nodiscard]] bool is_over_limit() const { return total_ > limit_; }
+  /// Returns what no use holds.
+  [[nodiscard]] std::size_t free_bytes() const { return total_ < limit_ ? limit_ - total_ : 0; }
 
  private:
   friend class MemoryCharge;
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -171,13 +171,15 @@
   }
 
   /// Keeps the memory that peers make the process hold within its limit. Each use is brought within its
-  /// allowance: operators first, then clients with incomplete messages, clients that do not read, and
-  /// endpoints with incomplete responses.
+  /// allowance: operators first, then clients with incomplete messages and endpoints with incomplete
+  /// responses. Replies have no allowance, since memory for them is reserved at admission; if the limit was
+  /// lowered, clients that have stopped reading are disconnected.
   void shed_excess_memory() {
     drop_stale_timers();
     admin_connections_.shed_excess_memory();
-    client_calls_.shed_excess_memory();
+    client_calls_.shed_incomplete_messages();
     upstream_pool_.shed_excess_memory();
+    client_calls_.shed_stalled_readers();
   }
 
   /// Timers of requests that have ended would otherwise stay until their due times. Clients that send and
@@ -253,6 +255,11 @@
     }
   }
 
+  void handle(const WriteProgressed& input) {
+    if (!client_connections_.owns(input.connection)) return;
+    client_connections_.on_write_progressed(input.connection, input.bytes);
+  }
+
   void handle(const Connected& input) {
     if (upstream_pool_.owns(input.connection)) {
       upstream_pool_.on_connected(input.connection);
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -173,6 +173,7 @@
   if (dependencies_.policy.is_tracing()) {
     trace(upstream_request.expires_at > now ? "attempt" : "unsent", attempt.request, pending.accepted_epoch);
   }
+  upstream_request.reserved_response_bytes = pending.reply_bytes;
   upstream_request.body = pending.body;
   add_attempt_fields(upstream_request.fields, pending, attempt);
 }
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -30,6 +30,9 @@
 constexpr Time kLoopStallThreshold = std::chrono::milliseconds(500);
 /// Well-behaved clients close idle connections after 4 s; this limit is for clients that never close them.
 constexpr Time kClientIdleTimeout = std::chrono::seconds(6);
+/// A client that has read nothing for this long although answers wait for it is disconnected if memory for
+/// answers runs short.
+constexpr Time kStalledReaderTimeout = std::chrono::seconds(1);
 /// Maximum time for a client or an operator to read the last reply on a draining connection.
 constexpr Time kDrainTimeout = std::chrono::milliseconds(500);
 /// Maximum time from connecting to the admin address to the complete call.
@@ -66,6 +69,9 @@
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
 /// Requests that one client connection may have pending; further ones are rejected at once.
 constexpr std::size_t kMaxOpenCallsPerConnection = 32;
+/// Unread replies of one client to calls that were not accepted, in bytes; a usual client has 32 of them at
+/// most.
+constexpr std::size_t kMaxUnreservedReplyBytes = 64 * 1024;
 /// Maximum number of connections at the admin address.
 constexpr int kMaxAdminConnections = 32;
 /// Maximum number of endpoints with an admin override, and of removed endpoints that are remembered as
@@ -136,6 +142,9 @@
 constexpr std::size_t kBodyCopies = 2;
 /// The first request of a client may use this many times the memory that further ones may.
 constexpr std::size_t kFirstRequestMemoryMultiple = 2;
+/// The replies of one client, unread or reserved, may take this many times the memory that nothing uses, so
+/// that a single client with all its requests open never takes the others' memory.
+constexpr std::size_t kMaxClientRepliesToFreeMemory = 2;
 
 /// Memory of one endpoint in all tables, in bytes.
 constexpr std::size_t kEndpointBytes = 1280;
@@ -191,8 +200,6 @@
   std::size_t peer_memory_bytes = 0;      ///< memory held on behalf of peers, all together
   /// Unread replies of one client above which its new requests are rejected at once.
   std::size_t reject_unsent_bytes = 0;
-  /// Unread replies of one client above which it is disconnected.
-  std::size_t disconnect_unsent_bytes = 0;
 
   explicit ResourceLimits(const config::Config& config)
       : descriptors(config.max_descriptors),
@@ -210,8 +217,7 @@
         peer_memory_bytes(proxy::peer_memory_bytes(config.memory_bytes,
                                                    static_cast<std::size_t>(config.max_descriptors),
                                                    config.membership.has_value())),
-        reject_unsent_bytes(std::min<std::size_t>(2 * 1024 * 1024, config.memory_bytes / 16)),
-        disconnect_unsent_bytes(std::min<std::size_t>(9 * 1024 * 1024, config.memory_bytes / 8)) {}
+        reject_unsent_bytes(std::min<std::size_t>(2 * 1024 * 1024, config.memory_bytes / 16)) {}
 };
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/upstream/upstream_connection.cpp
+++ b/src/proxy/upstream/upstream_connection.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "proxy/upstream/upstream_connection.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -149,11 +150,19 @@
 
 std::optional<codec::CacheResponse> UpstreamConnection::next_response() {
   std::optional<codec::CacheResponse> response = reader_.next();
-  response_memory_.set(reader_.buffered_bytes());
   if (response) response_started_at_ = last_received_at_;
   return response;
 }
 
+std::optional<AttemptKey> UpstreamConnection::awaited_partial_response() const {
+  return find_open_attempt(std::string(reader_.partial_response_id()));
+}
+
+void UpstreamConnection::charge_received_bytes(std::size_t reserved_bytes) {
+  const std::size_t bytes = reader_.buffered_bytes();
+  response_memory_.set(bytes - std::min(bytes, reserved_bytes));
+}
+
 bool UpstreamConnection::is_partial_response_awaited() const {
   const std::string_view id = reader_.partial_response_id();
   return id.empty() ? !open_attempts_.empty() : open_attempts_.contains(std::string(id));
--- a/src/proxy/upstream/upstream_connection.h
+++ b/src/proxy/upstream/upstream_connection.h
@@ -121,6 +121,10 @@
   [[nodiscard]] bool has_partial_response() const { return reader_.has_partial_response(); }
   /// Whether an attempt waits for the incomplete response.
   [[nodiscard]] bool is_partial_response_awaited() const;
+  /// Returns the attempt that waits for the incomplete response; none if its id is unknown or nothing waits.
+  [[nodiscard]] std::optional<AttemptKey> awaited_partial_response() const;
+  /// Charges the received bytes that `reserved_bytes`, the reservation for the awaited response, don't cover.
+  void charge_received_bytes(std::size_t reserved_bytes);
   /// Returns when the first byte of the incomplete response arrived.
   [[nodiscard]] Time response_started_at() const { return response_started_at_; }
   [[nodiscard]] codec::LineError read_error() const { return reader_.error(); }
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -194,6 +194,7 @@
   if (connection == connections_.end()) return;
   if (attempt.is_written) {
     connection->second.remove_open_attempt(key.request);
+    charge_received_bytes(connection->second);
   } else {
     connection->second.remove_queued_attempt(key);
   }
@@ -314,6 +315,7 @@
   UpstreamConnection& upstream = connections_.at(connection);
   upstream.on_bytes(bytes, context_.now);
   while (auto response = upstream.next_response()) on_response(upstream, std::move(*response));
+  charge_received_bytes(upstream);
   if (upstream.read_error() == codec::LineError::none) return;
   // The start of the next response is unknown after a malformed one, so that the connection is closed.
   context_.log("member unreadable answer member=" + upstream.endpoint() +
@@ -321,6 +323,13 @@
   close(connection, CloseReason::malformed_response, ClosedBy::proxy);
 }
 
+/// The reservation for the client's reply covers the response until it is complete.
+void UpstreamPool::charge_received_bytes(UpstreamConnection& connection) const {
+  const auto key = connection.awaited_partial_response();
+  const OutstandingAttempt* attempt = key ? attempts_.find(*key) : nullptr;
+  connection.charge_received_bytes(attempt == nullptr ? 0 : attempt->request.reserved_response_bytes);
+}
+
 void UpstreamPool::on_response(UpstreamConnection& connection, codec::CacheResponse response) {
   if (is_health_response(response.status)) {
     const auto duration = connection.take_health_check(response.id, context_.now);
--- a/src/proxy/upstream/upstream_pool.h
+++ b/src/proxy/upstream/upstream_pool.h
@@ -108,6 +108,7 @@
   void write_next(ConnectionId id);
   [[nodiscard]] std::string take_attempt_bytes(UpstreamConnection& connection);
   void on_response(UpstreamConnection& connection, codec::CacheResponse response);
+  void charge_received_bytes(UpstreamConnection& connection) const;
   [[nodiscard]] std::optional<CloseReason> expiry_of(const UpstreamConnection& connection) const;
   void close(ConnectionId id, CloseReason reason, ClosedBy closed_by);
   void end_open_attempts(const UpstreamConnection& connection, CloseReason reason, ClosedBy closed_by);
--- a/src/proxy/upstream/upstream_request.h
+++ b/src/proxy/upstream/upstream_request.h
@@ -33,9 +33,10 @@
   std::uint64_t object = 0;
   std::int64_t group = 0;
   Time decided_at{0};
-  Time expires_at{0};    ///< no client waits for the answer any longer
-  Time send_before{0};   ///< must not be written later; 0: the limit is expires_at
-  Time max_copy_age{0};  ///< decided by the router; 0: the fresh time of the class
+  Time expires_at{0};                       ///< no client waits for the answer any longer
+  Time send_before{0};                      ///< must not be written later; 0: the limit is expires_at
+  Time max_copy_age{0};                     ///< decided by the router; 0: the fresh time of the class
+  std::size_t reserved_response_bytes = 0;  ///< covered by the reservation for the client's reply
 };
 
 /// The result of an attempt. Each UpstreamRequest has exactly one completion.
--- a/tests/golden/proxy_trace.cpp
+++ b/tests/golden/proxy_trace.cpp
@@ -358,6 +358,9 @@
 std::string input_text(const proxy::WriteDrained& input) {
   return RecordLine("write_drained").add("connection", input.connection).text();
 }
+std::string input_text(const proxy::WriteProgressed& input) {
+  return RecordLine("write_progressed").add("connection", input.connection).add("bytes", input.bytes).text();
+}
 std::string input_text(const proxy::Connected& input) {
   return RecordLine("connected").add("connection", input.connection).text();
 }
--- a/tests/support/virtual_time_harness.h
+++ b/tests/support/virtual_time_harness.h
@@ -104,6 +104,12 @@
       feed(proxy::WriteDrained{id});
     }
   }
+  /// The system takes `bytes` more of what was written to the peer, whose writes are stalled; others remain.
+  void take_written_bytes(const std::string& peer, std::size_t bytes) {
+    for (const proxy::ConnectionId id : std::set(undrained_)) {
+      if (peers_[id] == peer && is_open(id)) feed(proxy::WriteProgressed{id, bytes});
+    }
+  }
   /// The admin overrides that the edge proxy has stored for its successor process.
   [[nodiscard]] const std::string& stored_overrides() const { return stored_overrides_; }
   /// Delivers admin overrides that another process has stored.
