Count reading as activity, so that steady slow readers are not cut off

Cause: a write of a part of the replies was no activity. Trace: cut by time, 5.09 s since the last reply, 7,682,400 bytes unread as in the beginning, although 23 answers had been read.

Change: progress of a write is activity. The event loop asks the system each 0.1 s whether clients with unread answers have acknowledged more (SIOCOUTQ), since the socket's buffer frees room in steps that can be seconds apart.

With the one line taken out, SlowReaders.AClientThatGoesOnReadingIsNotCutOffAfterTheLongestDeadline fails after 19 of 60 steps of 0.25 s.

--- a/src/event_loop/connection.cpp
+++ b/src/event_loop/connection.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: MIT
 #include "event_loop/connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <utility>
@@ -94,6 +96,7 @@
     if (size >= 0) {
       written_ += static_cast<std::size_t>(size);
       written_bytes_ += static_cast<std::size_t>(size);
+      total_written_bytes_ += static_cast<std::uint64_t>(size);
       continue;
     }
     if (error.matches(G_IO_ERROR_WOULD_BLOCK)) return FlushResult::blocked;
@@ -107,6 +110,13 @@
   return FlushResult::drained;
 }
 
+bool Connection::take_acknowledgement() {
+  int unacknowledged_bytes = 0;
+  if (ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &unacknowledged_bytes) != 0) return false;
+  const std::uint64_t acknowledged = total_written_bytes_ - static_cast<std::uint64_t>(unacknowledged_bytes);
+  return std::exchange(acknowledged_bytes_, acknowledged) < acknowledged;
+}
+
 void Connection::clear_output() {
   output_.clear();
   written_ = 0;
--- a/src/event_loop/connection.h
+++ b/src/event_loop/connection.h
@@ -65,6 +65,11 @@
   [[nodiscard]] bool append(std::string bytes);
   /// Writes as much as the socket accepts.
   FlushResult flush();
+  /// Whether the socket has not accepted all output yet.
+  [[nodiscard]] bool has_output() const { return !output_.empty(); }
+  /// Returns whether the peer has acknowledged bytes since the last call. Its system does so as the peer
+  /// reads, once its receive buffer is full.
+  [[nodiscard]] bool take_acknowledgement();
   /// Returns how many bytes the system has taken since the last call.
   [[nodiscard]] std::size_t take_written_bytes() { return std::exchange(written_bytes_, 0); }
   /// Shuts down the sending direction once the write buffer is empty.
@@ -85,7 +90,9 @@
   bool write_closed_ = false;
   std::deque<std::string> output_;  ///< in pieces, so that appending neither copies nor reserves memory
   std::size_t written_bytes_ = 0;   ///< since the last call of take_written_bytes()
-  std::size_t written_ = 0;         ///< bytes of the first piece already passed to the kernel
+  std::uint64_t total_written_bytes_ = 0;
+  std::uint64_t acknowledged_bytes_ = 0;  ///< at the last call of take_acknowledgement()
+  std::size_t written_ = 0;               ///< bytes of the first piece already passed to the kernel
 };
 
 }  // namespace edge_proxy::event_loop
--- a/src/event_loop/server.cpp
+++ b/src/event_loop/server.cpp
@@ -28,6 +28,8 @@
   if (overrides_file_.is_enabled())
     overrides_poll_source_ = call_every<&Server::load_overrides>(
         std::chrono::duration_cast<std::chrono::milliseconds>(proxy::kOverridesPollInterval), this);
+  acknowledgement_poll_source_ = call_every<&Server::report_reading_clients>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(proxy::kAcknowledgementPollInterval), this);
   poll_source_ = watch_readable<&Server::poll>(poller_.descriptor(), this);
   timer_ = Timer::create<&Server::on_timer>(this);
   terminate_source_ = watch_signal<&Server::on_shutdown_signal>(SIGTERM, this);
@@ -124,6 +126,18 @@
   if (const auto text = overrides_file_.read_if_new()) handle(proxy::OverridesLoaded{*text});
 }
 
+/// A client that reads slowly frees room in the socket in large steps only, some of them seconds apart. Its
+/// acknowledgements show earlier that it goes on reading.
+void Server::report_reading_clients() {
+  std::vector<proxy::ConnectionId> reading;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->is_accepted() && connection->has_output() && connection->take_acknowledgement()) {
+      reading.push_back(id);
+    }
+  }
+  for (const proxy::ConnectionId id : reading) handle(proxy::WriteProgressed{id, 0});
+}
+
 // ---- Connections ----
 
 Connection* Server::find_connection(proxy::ConnectionId id) {
--- a/src/event_loop/server.h
+++ b/src/event_loop/server.h
@@ -51,6 +51,7 @@
   void on_shutdown_signal();
   void reload();
   void load_overrides();
+  void report_reading_clients();
   void start_membership(const config::Config& config);
 
   // Connections
@@ -93,6 +94,7 @@
   OverridesFile overrides_file_;
   Acceptor acceptor_;
   Source overrides_poll_source_;
+  Source acknowledgement_poll_source_;
   Source poll_source_;
   Timer timer_;
   Source terminate_source_;
--- a/src/proxy/client/client_connections.cpp
+++ b/src/proxy/client/client_connections.cpp
@@ -112,7 +112,9 @@
 }
 
 void ClientConnections::on_write_progressed(ConnectionId id, std::size_t bytes) {
-  connections_.at(id).replies.on_progress(bytes, context_.now);
+  ClientConnection& client = connections_.at(id);
+  client.active_at = context_.now;
+  client.replies.on_progress(bytes, context_.now);
 }
 
 bool ClientConnections::is_backed_up(ConnectionId id) const {
--- a/src/proxy/inputs.h
+++ b/src/proxy/inputs.h
@@ -34,10 +34,11 @@
 struct WriteDrained {
   ConnectionId connection = 0;
 };
-/// The system has taken some of the bytes that are to be written on a client's connection; others remain.
+/// A client goes on reading: its system has acknowledged more bytes, or this one has taken some of those that
+/// are to be written on the connection; others remain.
 struct WriteProgressed {
   ConnectionId connection = 0;
-  std::size_t bytes = 0;
+  std::size_t bytes = 0;  ///< taken by this system since the last such input
 };
 /// A connection that the reducer requested is open.
 struct Connected {
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -39,6 +39,8 @@
 constexpr Time kAdminCallTimeout = std::chrono::seconds(10);
 /// Interval between reads of the overrides that another process of this edge proxy has stored.
 constexpr Time kOverridesPollInterval = std::chrono::milliseconds(100);
+/// Interval between checks whether clients with unread answers have read on.
+constexpr Time kAcknowledgementPollInterval = std::chrono::milliseconds(100);
 /// How long the override of a resumed endpoint is remembered; longer than any slow start.
 constexpr Time kOverrideRetention = std::chrono::seconds(60);
 
--- a/tests/proxy/slow_readers_test.cpp
+++ b/tests/proxy/slow_readers_test.cpp
@@ -99,6 +99,23 @@
   }
 }
 
+// Guards against a time limit that runs from the last answer, although the client reads without a pause.
+TEST(SlowReaders, AClientThatGoesOnReadingIsNotCutOffAfterTheLongestDeadline) {
+  VirtualTimeHarness harness(kMembers, 192);
+  harness.set_write_stalled("anna", true);
+  for (int i = 1; i <= 12; ++i) harness.send("anna", request_message(i, request_fields(i, "video")));
+  ASSERT_EQ(answer_all(harness, kLargestObject), 12);
+  for (int step = 0; step < 60; ++step) {  // 15 s, three times the longest deadline
+    harness.wait(250ms);
+    harness.take_written_bytes("anna", step % 8 == 0 ? 100'000 : 0);
+    ASSERT_FALSE(harness.is_closed("anna")) << "after " << step << " steps";
+  }
+  harness.wait(4900ms);
+  EXPECT_FALSE(harness.is_closed("anna"));
+  harness.wait(300ms);
+  EXPECT_TRUE(harness.is_closed("anna")) << "it has read nothing for the longest deadline";
+}
+
 // Guards against replies to rejected calls that pile up for a client that does not read.
 TEST(SlowReaders, RejectionsThatNobodyReadsAreBounded) {
   VirtualTimeHarness harness(kMembers, 32);
