Use local copies after a reconnect only once missed purges can't apply

Cause: a new stream counted as current from its first byte on, whatever was missed. Trace: old answers only between the head of the new stream and the missed event, none before or after; any piece of the head suffices in virtual time.

Change: the discovery client keeps the time of a reconnect until an invalidation issued later (by 1 s, for the clocks) has been read; events come in order. Until then a copy is used only if it was created after the reconnect or a cache has sent it when all missed invalidations were settled. Comments and time confirm nothing. The first connection is as before.

--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -24,6 +24,8 @@
 constexpr Time kMaxInitialTimeout = 500ms;
 constexpr Time kMinBackoff = 50ms;  // delay before a reconnect; doubles up to kMaxBackoff
 constexpr Time kMaxBackoff = 800ms;
+/// How far the clock of the discovery service may be ahead of the proxy's clock.
+constexpr Time kMaxClockSkew = 1s;
 
 }  // namespace
 
@@ -51,6 +53,7 @@
 void DiscoveryClient::on_connected() {
   is_connected_ = true;
   last_byte_at_ = last_line_at_ = context_.now;
+  if (std::exchange(was_connected_, true)) unconfirmed_gap_end_ = context_.now;
   context_.write(connection_, codec::write_stream_request(address_, kPath, std::to_string(last_event_)));
 }
 
@@ -70,6 +73,7 @@
     }
     last_event_ = event->number;
     backoff_ = kMinBackoff;
+    confirm_gap(*event);
     ++event_count_;
     events.push_back(std::move(*event));
   }
@@ -103,6 +107,11 @@
   return true;
 }
 
+void DiscoveryClient::confirm_gap(const codec::DiscoveryEvent& event) {
+  if (!unconfirmed_gap_end_ || !event.invalidation) return;
+  if (event.invalidation->issued_at >= *unconfirmed_gap_end_ + kMaxClockSkew) unconfirmed_gap_end_.reset();
+}
+
 void DiscoveryClient::set_address(const std::string& address) {
   if (address == address_ || stopped_) return;
   address_ = address;
--- a/src/proxy/discovery/discovery_client.h
+++ b/src/proxy/discovery/discovery_client.h
@@ -37,6 +37,10 @@
   [[nodiscard]] bool is_current() const {
     return is_connected_ && has_data_ && context_.now - last_line_at_ < kDiscoverySilenceLimit;
   }
+  /// Returns the end of a gap in the stream whose events may still be missing: the time of the reconnect,
+  /// until the new stream has shown an invalidation that was issued later. Events arrive in order, so that
+  /// this one follows all that were missed. Neither the head of the stream nor a comment shows that.
+  [[nodiscard]] std::optional<Time> unconfirmed_gap_end() const { return unconfirmed_gap_end_; }
   /// Handles a connection that failed or was closed by the discovery service.
   void on_closed(CloseReason reason);
   /// Closes a connection that has been silent for too long or was not established in time.
@@ -47,6 +51,7 @@
   void close(CloseReason reason, ClosedBy closed_by);
   std::optional<codec::DiscoveryEvent> parse(const codec::StreamEvent& frame);
   bool is_gap_before(const codec::DiscoveryEvent& event);
+  void confirm_gap(const codec::DiscoveryEvent& event);
   /// Returns a random duration below `max_delay`.
   Time random_delay(Time max_delay);
 
@@ -57,8 +62,10 @@
   std::int64_t gap_after_ = -1;  ///< the event before the last gap
   ConnectionId connection_ = 0;
   bool is_connected_ = false;
-  bool has_data_ = false;  ///< on this connection
+  bool has_data_ = false;       ///< on this connection
+  bool was_connected_ = false;  ///< on this connection or an earlier one
   bool stopped_ = false;
+  std::optional<Time> unconfirmed_gap_end_;
   Time opened_at_{0};
   Time last_byte_at_{0};
   Time last_line_at_{0};  ///< time of the last complete line, at first that of the opening
--- a/src/proxy/local_cache.cpp
+++ b/src/proxy/local_cache.cpp
@@ -48,7 +48,7 @@
     : flow_bytes_per_s_(config.flow_bytes_per_s),
       transfer_slots_free_at_(transfer_slot_count(config)),
       max_bytes_(config.memory_bytes / kLocalCacheMemoryDivisor),
-      invalidation_retention_(kInvalidationRetentionFactor * config.settings.invalidation_settled_after) {}
+      invalidation_settled_after_(config.settings.invalidation_settled_after) {}
 
 void LocalCache::resize(std::size_t memory_bytes) {
   max_bytes_ = memory_bytes / kLocalCacheMemoryDivisor;
@@ -68,6 +68,10 @@
   return &lru_.front();
 }
 
+bool LocalCache::is_newer_than_gap(const CachedCopy& copy, Time gap_end) const {
+  return copy.created_at > gap_end || copy.confirmed_at >= gap_end + invalidation_settled_after_;
+}
+
 Time LocalCache::transfer_wait(Time now) const {
   if (transfer_slots_free_at_.empty()) return Time::max();
   return std::max(Time{0},
@@ -100,10 +104,13 @@
   // The response may have been sent before an invalidation was announced and have arrived after it.
   if (is_invalidated_since(*created_at, key, group)) return;
   const auto cached = by_key_.find(key);
-  if (cached != by_key_.end() && cached->second->created_at >= *created_at) return;
+  if (cached != by_key_.end() && cached->second->created_at >= *created_at) {
+    if (cached->second->created_at == *created_at) cached->second->confirmed_at = now;
+    return;
+  }
   if (!was_seen_before(key, fingerprint_of(*entity_tag, response.body))) return;
   if (cached != by_key_.end()) erase(cached->second);
-  lru_.push_front({key, group, response.body, std::string(*entity_tag), *created_at});
+  lru_.push_front({key, group, response.body, std::string(*entity_tag), *created_at, now});
   by_key_[key] = lru_.begin();
   bytes_ += size_of(lru_.front());
   evict();
@@ -142,8 +149,8 @@
     if (is_invalidated_since(copy->created_at, copy->key, copy->group)) erase(copy);
     copy = next;
   }
-  std::erase_if(invalidations_,
-                [&](const auto& entry) { return now - entry.second > invalidation_retention_; });
+  const Time retention = kInvalidationRetentionFactor * invalidation_settled_after_;
+  std::erase_if(invalidations_, [&](const auto& entry) { return now - entry.second > retention; });
 }
 
 void LocalCache::erase(LruList::iterator copy) {
--- a/src/proxy/local_cache.h
+++ b/src/proxy/local_cache.h
@@ -33,6 +33,7 @@
     std::string body;
     std::string entity_tag;
     Time created_at{0};
+    Time confirmed_at{0};  ///< when an upstream cache last sent this copy
   };
 
   explicit LocalCache(const config::Config& config);
@@ -42,6 +43,9 @@
   /// Returns a copy that may be served now, or null. It is younger than `max_age`; 0 means no limit. The
   /// pointer is valid until the next call of a member function.
   const CachedCopy* find(const Key& key, Time now, Time max_age);
+  /// Whether no invalidation that was issued until `gap_end` and may be missing can apply to the copy: it was
+  /// created later, or an upstream cache still sent it when such an invalidation was settled everywhere.
+  [[nodiscard]] bool is_newer_than_gap(const CachedCopy& copy, Time gap_end) const;
   /// Returns how long a new transfer would wait for the link.
   [[nodiscard]] Time transfer_wait(Time now) const;
   /// Records that a transfer of this size starts on the link now.
@@ -83,7 +87,7 @@
   // One entry for each concurrent transfer of the link: the time at which it will be finished.
   std::vector<Time> transfer_slots_free_at_;
   std::size_t max_bytes_;
-  Time invalidation_retention_;
+  Time invalidation_settled_after_;
   LruList lru_;  // most recently used copy first
   std::map<Key, LruList::iterator> by_key_;
   std::size_t bytes_ = 0;
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "proxy/request_dispatcher.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -37,13 +38,18 @@
 }
 
 /// Without current events from the discovery service, a copy may be older than an invalidation that has
-/// already been announced, so that no local copy is used.
+/// already been announced, so that no local copy is used. After a reconnect, those that an invalidation of
+/// the gap may apply to are not used until the new stream has shown all of them.
 bool RequestDispatcher::has_usable_local_copy(const PendingRequest& pending) const {
   const Request& request = pending.request;
   if (request.write || !pending.key.empty() || !pending.body.empty()) return false;
   if (!dependencies_.discovery.is_current()) return false;
-  return dependencies_.local_cache.find(cache_key_of(request), dependencies_.context.now,
-                                        max_age_of(request)) != nullptr;
+  LocalCache& local_cache = dependencies_.local_cache;
+  const LocalCache::CachedCopy* copy =
+      local_cache.find(cache_key_of(request), dependencies_.context.now, max_age_of(request));
+  if (copy == nullptr) return false;
+  const std::optional<Time> gap_end = dependencies_.discovery.unconfirmed_gap_end();
+  return !gap_end || local_cache.is_newer_than_gap(*copy, *gap_end);
 }
 
 Time RequestDispatcher::max_age_of(const Request& request) const {
