See a client's close behind more unread input than the socket holds

Cause: the system reports a close only once all input before it has room in the receive buffer, and the proxy served the first 16 kB at once.

Change: if more waits than one turn reads, the rest is read ahead first, which makes room for the end. If the client has closed, nothing is served; else the input is served in turns of 16 kB as before.

--- a/src/event_loop/connection.cpp
+++ b/src/event_loop/connection.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -54,7 +55,36 @@
   return g_socket_check_connect_result(socket_.get(), nullptr) != FALSE;
 }
 
-Connection::ReadResult Connection::read(std::span<char> buffer) const {
+Connection::ReadResult Connection::read(std::span<char> buffer) {
+  return read_ahead_bytes() > 0 ? take_read_ahead(buffer) : receive(buffer);
+}
+
+Connection::ReadResult Connection::take_read_ahead(std::span<char> buffer) {
+  const std::size_t size = std::min(buffer.size(), read_ahead_bytes());
+  read_ahead_.copy(buffer.data(), size, read_ahead_taken_);
+  read_ahead_taken_ += size;
+  if (read_ahead_bytes() == 0) clear_read_ahead();
+  return {ReadStatus::data, {buffer.data(), size}};
+}
+
+Connection::ReadStatus Connection::read_ahead(std::size_t max_bytes) {
+  std::array<char, proxy::kReadChunkBytes> buffer;
+  auto status = ReadStatus::data;
+  while (status == ReadStatus::data && read_ahead_bytes() < max_bytes) {
+    const ReadResult result =
+        receive(std::span(buffer).first(std::min(buffer.size(), max_bytes - read_ahead_bytes())));
+    read_ahead_.append(result.bytes);
+    status = result.status;
+  }
+  return status;
+}
+
+void Connection::clear_read_ahead() {
+  std::string().swap(read_ahead_);
+  read_ahead_taken_ = 0;
+}
+
+Connection::ReadResult Connection::receive(std::span<char> buffer) const {
   Error error;
   const gssize size = g_socket_receive(socket_.get(), buffer.data(), buffer.size(), nullptr, error.out_ptr());
   if (size > 0) return {ReadStatus::data, {buffer.data(), static_cast<std::size_t>(size)}};
@@ -62,7 +92,7 @@
   return {error.matches(G_IO_ERROR_WOULD_BLOCK) ? ReadStatus::would_block : ReadStatus::failed, {}};
 }
 
-Connection::ReadStatus Connection::discard_input() const {
+Connection::ReadStatus Connection::discard_input() {
   std::array<char, proxy::kReadChunkBytes> buffer;
   auto status = ReadStatus::data;
   for (std::size_t bytes = 0; status == ReadStatus::data && bytes < proxy::kMaxDiscardedBytes;
--- a/src/event_loop/connection.h
+++ b/src/event_loop/connection.h
@@ -53,12 +53,20 @@
   void update_watch(const Poller& poller);
   /// Leaves the connecting state; returns false if the connection failed.
   [[nodiscard]] bool finish_connecting();
-  /// Reads once without blocking.
-  [[nodiscard]] ReadResult read(std::span<char> buffer) const;
+  /// Reads once without blocking; what was read ahead comes first.
+  [[nodiscard]] ReadResult read(std::span<char> buffer);
+  /// Reads up to `max_bytes` ahead of read(), and returns the status of the last read. It shows whether the
+  /// peer has closed behind much unread input: the end of a stream arrives only once all before it has room.
+  [[nodiscard]] ReadStatus read_ahead(std::size_t max_bytes);
+  /// Bytes that were read ahead and wait for read().
+  [[nodiscard]] std::size_t read_ahead_bytes() const { return read_ahead_.size() - read_ahead_taken_; }
   /// Reads and discards at most proxy::kMaxDiscardedBytes; returns the status of the last read.
-  [[nodiscard]] ReadStatus discard_input() const;
+  [[nodiscard]] ReadStatus discard_input();
   /// Waits for no more input; the end of a client's connection is still reported.
-  void stop_reading() { is_reading_ = false; }
+  void stop_reading() {
+    is_reading_ = false;
+    clear_read_ahead();
+  }
   /// Whether the peer still accepts bytes.
   [[nodiscard]] bool is_writable() const { return !write_closed_; }
   /// Appends to the write buffer. Returns true if it was empty; the caller must then call flush().
@@ -77,6 +85,9 @@
 
  private:
   [[nodiscard]] std::uint32_t wanted_events() const;
+  [[nodiscard]] ReadResult receive(std::span<char> buffer) const;
+  [[nodiscard]] ReadResult take_read_ahead(std::span<char> buffer);
+  void clear_read_ahead();
   void clear_output();
 
   proxy::ConnectionId id_;
@@ -88,8 +99,10 @@
   bool is_reading_ = true;
   bool shutdown_requested_ = false;
   bool write_closed_ = false;
-  std::deque<std::string> output_;  ///< in pieces, so that appending neither copies nor reserves memory
-  std::size_t written_bytes_ = 0;   ///< since the last call of take_written_bytes()
+  std::string read_ahead_;
+  std::size_t read_ahead_taken_ = 0;  ///< bytes at the front that read() has returned
+  std::deque<std::string> output_;    ///< in pieces, so that appending neither copies nor reserves memory
+  std::size_t written_bytes_ = 0;     ///< since the last call of take_written_bytes()
   std::uint64_t total_written_bytes_ = 0;
   std::uint64_t acknowledged_bytes_ = 0;  ///< at the last call of take_acknowledgement()
   std::size_t written_ = 0;               ///< bytes of the first piece already passed to the kernel
--- a/src/event_loop/server.cpp
+++ b/src/event_loop/server.cpp
@@ -24,7 +24,8 @@
       acceptor_(config, {.poll_connections = [this] { poll(); },
                          .on_accepted = [this](AcceptedSocket accepted) { on_accepted(std::move(accepted)); },
                          .on_descriptors_exhausted = [this] { handle(proxy::DescriptorsExhausted{}); },
-                         .log = [this](const std::string& line) { perform(proxy::LogLine{line}); }}) {
+                         .log = [this](const std::string& line) { perform(proxy::LogLine{line}); }}),
+      max_read_ahead_bytes_(proxy::max_read_ahead_bytes(config.memory_bytes)) {
   if (overrides_file_.is_enabled())
     overrides_poll_source_ = call_every<&Server::load_overrides>(
         std::chrono::duration_cast<std::chrono::milliseconds>(proxy::kOverridesPollInterval), this);
@@ -114,7 +115,9 @@
 void Server::reload() {
   proxy::Input input;
   try {
-    input = proxy::Reloaded{reload_()};
+    proxy::Reloaded reloaded{reload_()};
+    max_read_ahead_bytes_ = proxy::max_read_ahead_bytes(reloaded.config.memory_bytes);
+    input = std::move(reloaded);
   } catch (const std::exception& error) {
     input = proxy::ReloadFailed{error.what()};
   }
@@ -252,6 +255,13 @@
       handle(proxy::ConnectionClosed{id, result.status == ReadStatus::failed});
       return;
     }
+    if (is_accepted && !connection->is_operator() && result.bytes.size() == limit) {
+      const ReadStatus ahead = read_ahead(*connection);
+      if (ahead == ReadStatus::end_of_stream || ahead == ReadStatus::failed) {
+        remove_client(*connection);
+        return;
+      }
+    }
     // Another process may have received overrides before this operator's call.
     if (connection->is_operator()) load_overrides();
     handle(proxy::BytesArrived{id, result.bytes});
@@ -259,11 +269,45 @@
   }
 }
 
+/// A client may have closed behind more input than the system holds, whose requests must not be sent on. Its
+/// end is seen only once the input before it has been read. What is read ahead is fed in later turns.
+Connection::ReadStatus Server::read_ahead(Connection& connection) {
+  const Connection::ReadStatus status =
+      connection.read_ahead(connection.read_ahead_bytes() + read_ahead_room());
+  if (connection.read_ahead_bytes() > 0) {
+    with_read_ahead_.insert(connection.id());
+    if (!read_ahead_source_) {
+      read_ahead_source_ = call_every<&Server::serve_read_ahead>(std::chrono::milliseconds(0), this);
+    }
+  }
+  return status;
+}
+
+std::size_t Server::read_ahead_room() const {
+  std::size_t used = 0;
+  for (const proxy::ConnectionId id : with_read_ahead_) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) used += found->second->read_ahead_bytes();
+  }
+  return max_read_ahead_bytes_ - std::min(used, max_read_ahead_bytes_);
+}
+
+void Server::serve_read_ahead() {
+  poll();  // disconnected clients and discovery come first
+  for (const proxy::ConnectionId id : std::set(with_read_ahead_)) {
+    const Connection* connection = find_connection(id);
+    if (connection != nullptr && connection->read_ahead_bytes() > 0) read(id);
+    connection = find_connection(id);
+    if (connection == nullptr || connection->read_ahead_bytes() == 0) with_read_ahead_.erase(id);
+  }
+  if (with_read_ahead_.empty()) read_ahead_source_.reset();
+}
+
 /// Feeds the input that has arrived on the connection, then its close.
 void Server::drain_and_close(proxy::ConnectionId id) {
   std::array<char, proxy::kReadChunkBytes> buffer;
   for (std::size_t bytes = 0; bytes < proxy::kMaxDrainBytes; bytes += buffer.size()) {
-    const Connection* connection = find_connection(id);
+    Connection* connection = find_connection(id);
     if (connection == nullptr) return;
     const auto result = connection->read(buffer);
     if (result.status != Connection::ReadStatus::data) break;
--- a/src/event_loop/server.h
+++ b/src/event_loop/server.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "event_loop/acceptor.h"
@@ -64,6 +65,9 @@
   void finish_connecting(Connection& connection);
   void remove_client(Connection& connection);
   void read(proxy::ConnectionId id);
+  [[nodiscard]] Connection::ReadStatus read_ahead(Connection& connection);
+  void serve_read_ahead();
+  [[nodiscard]] std::size_t read_ahead_room() const;
   void drain_and_close(proxy::ConnectionId id);
   void flush(Connection& connection);
   Connection* find_connection(proxy::ConnectionId id);
@@ -96,6 +100,7 @@
   Source overrides_poll_source_;
   Source acknowledgement_poll_source_;
   Source poll_source_;
+  Source read_ahead_source_;  ///< active while input that was read ahead waits
   Timer timer_;
   Source terminate_source_;
   Source interrupt_source_;
@@ -103,6 +108,8 @@
   std::unique_ptr<MembershipSockets> membership_sockets_;  ///< null unless configured
   std::unique_ptr<ConsensusThread> consensus_;             ///< null unless configured
   std::map<proxy::ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::size_t max_read_ahead_bytes_;
+  std::set<proxy::ConnectionId> with_read_ahead_;
   // Work queued by effects; the queues are processed in this order before the next external input.
   std::deque<proxy::Input> pending_inputs_;
   std::deque<proxy::ConnectionId> connections_to_drain_;
--- a/tests/proxy/reused_ids_test.cpp
+++ b/tests/proxy/reused_ids_test.cpp
@@ -49,5 +49,22 @@
   )");
 }
 
+// Guards against an id that comes again after its client has left and loses the key by which caches recognize
+// the request that may have run.
+TEST(ReusedIds, ARequestThatComesAgainAfterItsClientLeftKeepsItsKey) {
+  VirtualTimeHarness harness;
+  run_scenario(harness, R"(
+    anna send 1 order unique=k
+    box-1 expect serve 1 replay=k
+    anna close
+    box-1 expect cancel 1
+    bert send 1 order unique=k
+    box-1 expect serve 1 replay=k
+    box-1 send HIT 1 ver=a b
+    bert expect served 1
+    box-1 expect nothing
+  )");
+}
+
 }  // namespace
 }  // namespace edge_proxy::test
--- a/tests/support/blocking_client.cpp
+++ b/tests/support/blocking_client.cpp
@@ -60,6 +60,10 @@
   return frame;
 }
 
+bool BlockingClient::has_input() const {
+  return wait_for(socket_, POLLIN, std::chrono::milliseconds(0)) != 0;
+}
+
 bool BlockingClient::discard_for(std::chrono::milliseconds duration) {
   std::array<char, 65536> buffer;
   const auto deadline = Clock::now() + duration;
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -25,6 +25,8 @@
   bool send(std::string_view bytes);
   /// Receives the next frame of the protocol without its length; none if the connection has ended.
   std::optional<std::string> receive_frame();
+  /// Whether bytes can be read or the connection has ended.
+  [[nodiscard]] bool has_input() const;
   /// Receives and discards bytes until the connection ends or `duration` has passed. Returns whether it
   /// ended.
   bool discard_for(std::chrono::milliseconds duration);
