Play slow writers, many short fields and one client at full speed

Change: the three floods are tests of MemoryLimit; the last one also bounds how long a usual client waits.

--- a/tests/app/memory_limit_test.cpp
+++ b/tests/app/memory_limit_test.cpp
@@ -5,12 +5,14 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -38,6 +40,7 @@
 constexpr auto kLoadedFor = 3500ms;  // longer than the time limits of messages and requests
 constexpr auto kSample = 10ms;
 constexpr int kRequestIdsPerThread = 1'000'000;
+constexpr std::int64_t kUsualLimitMs = 2500;  // how long a usual client waits for its answer
 
 /// Values that edit_config(), a plain function, puts into the configuration.
 struct ConfigEdits {
@@ -70,6 +73,7 @@
 struct UsualClientCounts {
   std::atomic<int> answered = 0;
   std::atomic<int> lost = 0;
+  std::atomic<std::int64_t> longest_wait_ms = 0;
 };
 
 /// The parameter is `limits.memory_mb`: the smallest value that the program takes, and the smallest in use.
@@ -188,13 +192,61 @@
     if (client.is_open() && client.send(call)) wait_for_end_of(client);
   }
 
+  /// Sends a write of the largest size in small pieces.
+  void write_slowly(int number) {
+    constexpr std::size_t kPieceBytes = 256;
+    BlockingClient client(port_);
+    const std::string message = write_request(1, next_id(number), kLargestWriteBytes);
+    for (std::size_t at = 0; at < message.size() && !is_over_; at += kPieceBytes) {
+      if (!client.is_open() || !client.send(std::string_view(message).substr(at, kPieceBytes))) return;
+      if (client.discard_for(5ms)) return;
+    }
+  }
+
+  /// Sends requests of very many short fields, and one without its last byte.
+  void send_many_fields(int number) {
+    constexpr int kFields = 4500;  // of a message of the largest size
+    static const std::map<std::string, std::string> fields = [] {
+      std::map<std::string, std::string> many = request_fields(1, "pages");
+      for (int i = 0; i < kFields; ++i) many[std::to_string(i)] = "";
+      return many;
+    }();
+    BlockingClient client(port_);
+    std::string messages;
+    for (int call = 1; call <= 4; ++call) messages += request_message(number + call, fields);
+    messages.pop_back();
+    if (client.is_open() && client.send(messages)) wait_for_end_of(client, 500ms);
+  }
+
+  /// Sends calls of every kind under ever new names at full speed on one connection, and reads the answers.
+  void call_at_full_speed(int number) {
+    BlockingClient client(port_);
+    int call = 0;
+    while (!is_over_ && client.is_open()) {
+      std::string calls;
+      for (int i = 0; i < kRequestsPerClient; ++i) {
+        calls += request(++call, next_id(number), "10000");
+        auto unsound = request_fields(next_id(number), "class-" + std::to_string(call));
+        calls += request_message(++call, unsound);
+        unsound["verb"] = "pages";
+        unsound["limit"] = std::to_string(call) + "x";
+        calls += request_message(++call, unsound) + cancel_message(call - 2);
+      }
+      if (!client.send(calls) || client.discard_for(0ms)) return;
+      while (client.has_input()) {
+        if (client.discard_for(1ms)) return;
+      }
+    }
+  }
+
   std::unique_ptr<CacheStandIn> caches_;
   std::unique_ptr<StartedProgram> program_;
   std::vector<std::thread> threads_;
   std::atomic<bool> is_over_ = false;
+  UsualClientCounts counts_;
 
  private:
-  static std::string request(int call, int id, const std::string& limit = "2500") {
+  static std::string request(int call, int id, const std::string& limit = std::to_string(kUsualLimitMs)) {
     auto fields = request_fields(id, "pages");
     fields["limit"] = limit;
     return request_message(call, fields);
@@ -222,7 +274,12 @@
       const int id = number * kRequestIdsPerThread / kUsualClients + call;
       const bool sent =
           client.send(call % 10 == 0 ? write_request(call, id, kUsualWriteBytes) : request(call, id));
-      if (!sent || !client.receive_frame()) {
+      const auto sent_at = Clock::now();
+      const bool is_answered = sent && client.receive_frame();
+      const auto waited =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sent_at).count();
+      counts_.longest_wait_ms = std::max<std::int64_t>(counts_.longest_wait_ms, waited);
+      if (!is_answered) {
         ++counts_.lost;
         return;
       }
@@ -234,7 +291,6 @@
   int port_ = 0;
   int flood_count_ = 0;
   std::array<int, 512> last_ids_{};
-  UsualClientCounts counts_;
 };
 
 // Guards against incomplete messages of clients that together exceed the memory limit.
@@ -296,6 +352,29 @@
   expect_within_limit();
 }
 
+// Guards against large messages that many clients write in small pieces.
+TEST_P(MemoryLimit, HoldsAgainstClientsThatWriteSlowly) {
+  start();
+  add_flood(300, [this](int number) { write_slowly(number); });
+  expect_within_limit();
+}
+
+// Guards against messages whose fields take many times their size.
+TEST_P(MemoryLimit, HoldsAgainstMessagesOfVeryManyShortFields) {
+  start();
+  add_flood(300, [this](int number) { send_many_fields(number); });
+  expect_within_limit();
+}
+
+// Guards against one client that calls at full speed, for which others would wait or the memory would grow.
+TEST_P(MemoryLimit, HoldsAgainstOneClientThatCallsAtFullSpeed) {
+  start();
+  add_flood(1, [this](int number) { call_at_full_speed(number); });
+  expect_within_limit();
+  std::printf("longest_wait_ms=%d\n", static_cast<int>(counts_.longest_wait_ms));
+  EXPECT_LT(counts_.longest_wait_ms, kUsualLimitMs);
+}
+
 /// A discovery service that answers each connection with the same bytes, again and again.
 class EndlessDiscovery {
  public:
