Drop served input from the read-ahead buffer, and count its growth

Cause: kept what had been served in the buffer as long as more was read ahead, so that it grew without end while a client sent at full speed.

Change: the served part is erased before more is read. The limit is 1/128 of the memory, counted twice for a growing buffer.

--- a/src/event_loop/connection.cpp
+++ b/src/event_loop/connection.cpp
@@ -70,6 +70,7 @@
 Connection::ReadStatus Connection::read_ahead(std::size_t max_bytes) {
   std::array<char, proxy::kReadChunkBytes> buffer;
   auto status = ReadStatus::data;
+  read_ahead_.erase(0, std::exchange(read_ahead_taken_, 0));
   while (status == ReadStatus::data && read_ahead_bytes() < max_bytes) {
     const ReadResult result =
         receive(std::span(buffer).first(std::min(buffer.size(), max_bytes - read_ahead_bytes())));
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -115,7 +115,7 @@
 // The memory limit is divided as follows, so that the parts add up to it at every limit:
 //   the process itself, its tables and the objects of its connections   kProcessBytes, kDescriptorBytes each
 //   a discovery event that is received and parsed                       kDiscoveryEventCopies events
-//   input of clients that is read ahead                                 1 / kReadAheadMemoryDivisor
+//   input of clients that is read ahead           kReadAheadCopies / kReadAheadMemoryDivisor
 //   streams of members (only with `peers`)                              1 / kMemberStreamMemoryDivisor
 //   copies in the local cache                                           1 / kLocalCacheMemoryDivisor
 //   memory held on behalf of all other peers (proxy/memory_account.h)   the remainder
@@ -160,7 +160,9 @@
 }
 
 /// Input of clients that is read ahead may take 1 / this of the memory limit.
-constexpr std::size_t kReadAheadMemoryDivisor = 64;
+constexpr std::size_t kReadAheadMemoryDivisor = 128;
+/// A buffer that grows takes up to this many times its content.
+constexpr std::size_t kReadAheadCopies = 2;
 
 /// Returns how much input of all clients may be read ahead at this memory limit, in bytes.
 constexpr std::size_t max_read_ahead_bytes(std::size_t memory_bytes) {
@@ -180,7 +182,7 @@
                                         bool has_membership) {
   const std::size_t own = kProcessBytes + descriptors * kDescriptorBytes +
                           kDiscoveryEventCopies * max_discovery_event_bytes(memory_bytes) +
-                          max_read_ahead_bytes(memory_bytes) +
+                          kReadAheadCopies * max_read_ahead_bytes(memory_bytes) +
                           (has_membership ? max_member_stream_bytes(memory_bytes) : 0);
   const std::size_t shared = memory_bytes > own ? memory_bytes - own : 0;
   const std::size_t usable = shared - shared / kAllocatorOverheadDivisor;
