Record that a fragile request is sent again when its id comes again

A client sends a request of a class that must not be repeated and leaves; the same id comes again from another client and is sent to the cache a second time, since nothing is remembered of a withdrawn request whose attempt may have run.

--- a/tests/proxy/reused_ids_test.cpp
+++ b/tests/proxy/reused_ids_test.cpp
@@ -66,5 +66,24 @@
   )");
 }
 
+std::string with_fragile_orders(std::string config) {
+  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
+  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
+}
+
+// Guards against a request that may have run and is sent again because its id comes again after its client
+// left.
+TEST(ReusedIds, AFragileRequestThatComesAgainAfterItsClientLeftIsNotSentAgain) {
+  VirtualTimeHarness harness({"box-1", "up-1", "main"}, 192, with_fragile_orders);
+  run_scenario(harness, R"(
+    anna send 1 order
+    box-1 expect serve 1
+    anna close
+    box-1 expect cancel 1
+    bert send 1 order
+    box-1 expect nothing
+  )");
+}
+
 }  // namespace
 }  // namespace edge_proxy::test
