Refuse a request that must not run twice when its id comes again

Cause: admission knew the ids of pending requests and of open attempts only; with its last attempt a request was forgotten. Evidence: while an attempt is open the id is rejected, and the second `serve` follows the first one's `cancel` without a wait. Answered requests ran twice as well, and keyed ones after the deduplication window.

Change: requests of such classes are remembered when an attempt ends that may have run, for four times the longest deadline, the longest that a client waits. Their ids are answered `failed`; a keyed one is sent again only with its key, where all caches share keys, within the window. The table is bounded and part of the memory account.

--- a/include/edge_proxy/router.h
+++ b/include/edge_proxy/router.h
@@ -183,6 +183,8 @@
   cache_miss,         ///< no valid copy and no fill; the request never ran
   malformed_response  ///< a response on the connection was unreadable; the request may have run
 };
+/// Whether a request may have run if an attempt of it ended like this.
+[[nodiscard]] bool may_have_run_after(AttemptResult result);
 /// How a cache served an attempt or why it failed; `unknown` if the response does not state it.
 enum class CacheStatus {
   unknown,
--- a/src/proxy/client/pending_requests.cpp
+++ b/src/proxy/client/pending_requests.cpp
@@ -15,9 +15,6 @@
 constexpr std::size_t kMaxBodyBytes = 48'000;
 constexpr std::uint64_t kMaxPart = 1'000'000;
 constexpr std::int64_t kMaxGroup = 255;
-// Upper bound of a client's limit and of the transfer time of an object, in multiples of the class's
-// deadline.
-constexpr int kMaxDeadlines = 4;
 constexpr double kMaxSizeWithoutTransferRateKb = 1e9;
 constexpr std::size_t kIdDigits = 16;
 constexpr char kAsciiDelete = 0x7f;  // follows the last printable character
--- a/src/proxy/client/pending_requests.h
+++ b/src/proxy/client/pending_requests.h
@@ -31,6 +31,7 @@
   Request request;
   std::size_t reply_bytes = 0;  ///< reserved for the answer
   int attempt_count = 0;
+  std::optional<Time> send_before;   ///< a request that comes again must not be sent later
   std::uint64_t accepted_epoch = 0;  ///< policy epoch under which the request was accepted
 };
 
--- a/src/proxy/client/request_admission.cpp
+++ b/src/proxy/client/request_admission.cpp
@@ -11,6 +11,7 @@
       return RejectionReply::close_stream;
     case RejectionReason::malformed_request:
     case RejectionReason::duplicate_request_id:
+    case RejectionReason::already_executed:
       return RejectionReply::failed;
     case RejectionReason::client_backed_up:
     case RejectionReason::shutting_down:
@@ -32,6 +33,9 @@
       pending_requests.read(client, call, dependencies_.shutdown.answer_deadline());
   if (!request) return RejectionReason::malformed_request;
   if (is_id_in_use(request->request.id)) return RejectionReason::duplicate_request_id;
+  const RepeatPermission permission = permission_to_repeat(*request);
+  if (!permission.is_allowed) return RejectionReason::already_executed;
+  request->send_before = permission.send_before;
   // Clients may send requests faster than they can be forwarded, which must not exhaust the memory.
   if (!pending_requests.has_room_for(*request)) return RejectionReason::memory_exhausted;
   return std::move(*request);
@@ -43,6 +47,12 @@
   return dependencies_.pending_requests.find(id) != nullptr || dependencies_.router.has_request(id);
 }
 
+RepeatPermission RequestAdmission::permission_to_repeat(const PendingRequest& request) const {
+  return dependencies_.executed_requests.permission_for(
+      request.request.id, static_cast<std::size_t>(request.request.request_class), request.key,
+      dependencies_.context.now);
+}
+
 std::optional<RejectionReason> RequestAdmission::check_connection(ConnectionId client,
                                                                   const ObjectRequest& call) const {
   if (dependencies_.clients.has_open_call(client, call.id)) return RejectionReason::duplicate_call_id;
--- a/src/proxy/client/request_admission.h
+++ b/src/proxy/client/request_admission.h
@@ -11,6 +11,7 @@
 
 #include "edge_proxy/router.h"
 #include "proxy/client/client_connections.h"
+#include "proxy/client/executed_requests.h"
 #include "proxy/client/pending_requests.h"
 #include "proxy/cluster/policy_controller.h"
 #include "proxy/graceful_shutdown.h"
@@ -26,6 +27,7 @@
   class_refused_by_policy,  ///< the policy in force rejects all requests of this class
   malformed_request,        ///< a field is missing, malformed or out of bounds
   duplicate_request_id,     ///< a request with this id is pending, or an attempt of it has not ended
+  already_executed,         ///< a request with this id may have run, and its class allows no repeat
   memory_exhausted          ///< pending requests have reached their share of the memory
 };
 
@@ -43,8 +45,10 @@
 class RequestAdmission {
  public:
   struct Dependencies {
+    const Context& context;
     const ClientConnections& clients;
     PendingRequests& pending_requests;
+    const ExecutedRequests& executed_requests;
     PolicyController& policy;
     const GracefulShutdown& shutdown;
     const Router& router;
@@ -62,6 +66,7 @@
   [[nodiscard]] std::optional<RejectionReason> check_connection(ConnectionId client,
                                                                 const ObjectRequest& call) const;
   [[nodiscard]] bool is_id_in_use(const std::string& id) const;
+  [[nodiscard]] RepeatPermission permission_to_repeat(const PendingRequest& request) const;
   [[nodiscard]] std::optional<RejectionReason> check_policy(const ObjectRequest& call);
 
   Dependencies dependencies_;
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -9,6 +9,7 @@
 #include "proxy/admin/stats_log.h"
 #include "proxy/client/client_call_handler.h"
 #include "proxy/client/client_connections.h"
+#include "proxy/client/executed_requests.h"
 #include "proxy/client/pending_requests.h"
 #include "proxy/client/request_admission.h"
 #include "proxy/cluster/membership_adapter.h"
@@ -53,6 +54,7 @@
         admin_connections_(context_),
         client_connections_(context_),
         pending_requests_(context_, client_connections_, settings_),
+        executed_requests_(settings_, context_.memory, context_.limits.max_executed_requests),
         upstream_pool_(
             context_, config,
             [this](const std::string& request) { return pending_requests_.find(request) != nullptr; }),
@@ -60,14 +62,15 @@
         local_cache_(config),
         membership_(context_, config),
         policy_(context_, membership_, config),
-        dispatcher_({context_, settings_, router_, pending_requests_, upstream_pool_, discovery_client_,
-                     local_cache_, policy_, stats_log_}),
+        dispatcher_({context_, settings_, router_, pending_requests_, executed_requests_, upstream_pool_,
+                     discovery_client_, local_cache_, policy_, stats_log_}),
         discovery_handler_({context_, endpoint_directory_, upstream_pool_, local_cache_, dispatcher_}),
         shutdown_({context_, settings_, client_connections_, pending_requests_, upstream_pool_,
                    admin_connections_, discovery_client_, membership_},
                   admin_listener_of(config)),
         readiness_(discovery_handler_, shutdown_, policy_),
-        admission_({client_connections_, pending_requests_, policy_, shutdown_, router_}),
+        admission_({context_, client_connections_, pending_requests_, executed_requests_, policy_, shutdown_,
+                    router_}),
         client_calls_({client_connections_, pending_requests_, admission_, dispatcher_, readiness_,
                        stats_log_, context_.memory}),
         admin_handler_({context_, admin_connections_, pending_requests_, upstream_pool_, router_,
@@ -167,6 +170,7 @@
     upstream_pool_.close_expired();
     admin_connections_.sweep();
     discovery_client_.close_if_silent();
+    executed_requests_.forget_expired(context_.now);
     context_.timers.add(context_.now + kSweepInterval, Timer::of(TimerKind::sweep));
   }
 
@@ -200,8 +204,8 @@
     gauges.attempts_in_flight = upstream_pool_.attempts_in_flight();
     gauges.router = router_.stats();
     gauges.endpoints = upstream_pool_.endpoint_count();
-    gauges.table_entries =
-        context_.timers.size() + local_cache_.table_entries() + upstream_pool_.table_entries();
+    gauges.table_entries = context_.timers.size() + local_cache_.table_entries() +
+                           upstream_pool_.table_entries() + executed_requests_.size();
     gauges.connections = context_.open_connections;
     stats_log_.log_second(context_, gauges);
     if (shutdown_.is_finished()) return;
@@ -304,6 +308,7 @@
     context_.limits = ResourceLimits(config_);
     context_.memory.set_limit(context_.limits.peer_memory_bytes);
     local_cache_.resize(config_.memory_bytes);
+    executed_requests_.set_max_entries(context_.limits.max_executed_requests);
     context_.log("reloaded bulletin=" + config_.discovery_address);
     discovery_client_.set_address(config_.discovery_address);
   }
@@ -375,6 +380,7 @@
   AdminConnections admin_connections_;
   ClientConnections client_connections_;
   PendingRequests pending_requests_;
+  ExecutedRequests executed_requests_;
   EndpointDirectory endpoint_directory_;
   UpstreamPool upstream_pool_;
   DiscoveryClient discovery_client_;
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -116,6 +116,7 @@
   outcome.result = checked_result(completion);
   outcome.duration = completion.duration;
   dependencies_.stats.log_attempt(dependencies_.context, completion, outcome.result);
+  remember_executed(completion, outcome.result);
   if (outcome.result == AttemptResult::served) deliver(completion);
   outcome.request_finished = dependencies_.pending_requests.find(completion.request) == nullptr;
   notify_router(outcome);
@@ -131,6 +132,16 @@
   return contradicts_request ? AttemptResult::malformed_response : completion.result;
 }
 
+/// The request may come again after it has ended.
+void RequestDispatcher::remember_executed(const AttemptCompletion& completion, AttemptResult result) {
+  if (!may_have_run_after(result)) return;
+  dependencies_.executed_requests.record({.request = completion.request,
+                                          .key = completion.idempotency_key,
+                                          .request_class = completion.request_class,
+                                          .decided_at = completion.decided_at},
+                                         dependencies_.context.now);
+}
+
 /// Sends a served response to the client, unless the client no longer waits for it.
 void RequestDispatcher::deliver(const AttemptCompletion& completion) {
   const PendingRequest* pending = dependencies_.pending_requests.find(completion.request);
@@ -171,6 +182,7 @@
   upstream_request.group = pending.request.group;
   upstream_request.expires_at = pending.request.expires;
   if (attempt.send_within > Time{0}) upstream_request.send_before = now + attempt.send_within;
+  if (pending.send_before) limit_sending(upstream_request, *pending.send_before);
   if (attempt.timeout > Time{0}) {
     upstream_request.expires_at = std::min(upstream_request.expires_at, now + attempt.timeout);
   }
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "edge_proxy/router.h"
 #include "proxy/admin/stats_log.h"
+#include "proxy/client/executed_requests.h"
 #include "proxy/client/pending_requests.h"
 #include "proxy/cluster/policy_controller.h"
 #include "proxy/context.h"
@@ -26,6 +27,7 @@
     const Settings& settings;  ///< those of the policy in force
     Router& router;
     PendingRequests& pending_requests;
+    ExecutedRequests& executed_requests;
     UpstreamPool& upstream;
     const DiscoveryClient& discovery;
     LocalCache& local_cache;
@@ -53,6 +55,7 @@
  private:
   void report(const AttemptCompletion& completion);
   [[nodiscard]] AttemptResult checked_result(const AttemptCompletion& completion) const;
+  void remember_executed(const AttemptCompletion& completion, AttemptResult result);
   void deliver(const AttemptCompletion& completion);
   [[nodiscard]] bool has_usable_local_copy(const PendingRequest& pending) const;
   [[nodiscard]] Time max_age_of(const Request& request) const;
--- a/src/proxy/resource_limits.h
+++ b/src/proxy/resource_limits.h
@@ -21,6 +21,9 @@
 
 // ---- Time ----
 
+/// Upper bound of a client's limit and of the transfer time of an object, in multiples of the class's
+/// deadline.
+constexpr int kMaxDeadlines = 4;
 /// Maximum time from connecting to the first complete message, and from a message's first byte to its last.
 constexpr Time kMessageTimeout = std::chrono::milliseconds(2500);
 /// A client that has sent nothing for this long after connecting is disconnected before other clients if
@@ -141,6 +144,10 @@
 constexpr std::size_t kOutstandingAttemptBytes = 1536;
 /// Memory of the record of an attempt that was written on a connection, in bytes.
 constexpr std::size_t kAttemptUseBytes = 192;
+/// Memory of the record of a request that may have run and must not run twice, in bytes.
+constexpr std::size_t kExecutedRequestBytes = 128;
+/// Those records may take 1 / this of the memory limit.
+constexpr std::size_t kExecutedRequestMemoryDivisor = 64;
 /// Bodies are held twice: for a retry, and by the attempt that waits for a connection.
 constexpr std::size_t kBodyCopies = 2;
 /// The first request of a client may use this many times the memory that further ones may.
@@ -203,13 +210,14 @@
 /// Each kind of connection has its own share of the descriptors, so that no kind can exhaust those of another
 /// and the total stays within the limit.
 struct ResourceLimits {
-  int descriptors = 0;            ///< limit for the whole process
-  int client_connections = 0;     ///< connections of clients: half of the descriptors
-  int draining_connections = 0;   ///< further client connections, open until the replies are read
-  int admin_connections = 0;      ///< connections at the admin address
-  int upstream_connections = 0;   ///< connections to caches: a third of the descriptors, or the remainder
-  Time unread_timeout{0};         ///< no client waits longer for an answer
-  std::size_t max_endpoints = 0;  ///< listed endpoints; further ones are ignored
+  int descriptors = 0;           ///< limit for the whole process
+  int client_connections = 0;    ///< connections of clients: half of the descriptors
+  int draining_connections = 0;  ///< further client connections, open until the replies are read
+  int admin_connections = 0;     ///< connections at the admin address
+  int upstream_connections = 0;  ///< connections to caches: a third of the descriptors, or the remainder
+  Time unread_timeout{0};        ///< no client waits longer for an answer
+  std::size_t max_executed_requests = 0;  ///< remembered requests that must not run twice
+  std::size_t max_endpoints = 0;          ///< listed endpoints; further ones are ignored
   std::size_t discovery_event_bytes = 0;  ///< largest event of the discovery service
   std::size_t peer_memory_bytes = 0;      ///< memory held on behalf of peers, all together
   /// Unread replies of one client above which its new requests are rejected at once.
@@ -226,6 +234,7 @@
                          kReservedDescriptors -
                          (config.membership ? config.membership->max_streams + kMembershipDescriptors : 0))),
         unread_timeout(longest_deadline(config.settings)),
+        max_executed_requests(config.memory_bytes / kExecutedRequestMemoryDivisor / kExecutedRequestBytes),
         max_endpoints(config.memory_bytes / kEndpointMemoryDivisor / kEndpointBytes),
         discovery_event_bytes(max_discovery_event_bytes(config.memory_bytes)),
         peer_memory_bytes(proxy::peer_memory_bytes(config.memory_bytes,
--- a/src/proxy/upstream/upstream_request.cpp
+++ b/src/proxy/upstream/upstream_request.cpp
@@ -20,6 +20,11 @@
   return request.expires_at <= now || (request.send_before > Time{0} && request.send_before <= now);
 }
 
+void limit_sending(UpstreamRequest& request, Time send_before) {
+  const bool is_limited = request.send_before > Time{0};
+  request.send_before = is_limited ? std::min(request.send_before, send_before) : send_before;
+}
+
 bool is_invalidated_by(const UpstreamRequest& request, const codec::Invalidation& invalidation) {
   return invalidation.object ? *invalidation.object == request.object : invalidation.group == request.group;
 }
--- a/src/proxy/upstream/upstream_request.h
+++ b/src/proxy/upstream/upstream_request.h
@@ -44,6 +44,9 @@
   std::string request;
   int attempt = 0;
   std::string endpoint, source;
+  std::string idempotency_key;  ///< empty: none
+  std::size_t request_class = 0;
+  Time decided_at{0};  ///< when the router decided on the attempt
   AttemptResult result = AttemptResult::not_sent;
   Time duration{0};               ///< since the router decided on the attempt
   codec::CacheResponse response;  ///< set if the result is `served`
@@ -52,6 +55,9 @@
 /// Whether it is too late to write the request: no client waits for the answer, or `send_before` has passed.
 [[nodiscard]] bool is_past_send_limit(const UpstreamRequest& request, Time now);
 
+/// Lowers the time until which the request may be written.
+void limit_sending(UpstreamRequest& request, Time send_before);
+
 /// Whether the invalidation applies to the object of the request or to its group.
 [[nodiscard]] bool is_invalidated_by(const UpstreamRequest& request, const codec::Invalidation& invalidation);
 
--- a/src/routing/retry_safety.cpp
+++ b/src/routing/retry_safety.cpp
@@ -5,15 +5,16 @@
 
 #include "routing/settings_queries.h"
 
-namespace edge_proxy::routing {
-namespace {
+namespace edge_proxy {
 
 bool may_have_run_after(AttemptResult result) {
   return result != AttemptResult::shed && result != AttemptResult::unreachable &&
          result != AttemptResult::not_sent && result != AttemptResult::cache_miss;
 }
 
-}  // namespace
+}  // namespace edge_proxy
+
+namespace edge_proxy::routing {
 
 void RetrySafety::record_result(const std::string& request_id, AttemptResult result) {
   if (may_have_run_after(result)) possibly_run_requests_.insert(request_id);
