--- a/tests/golden/proxy_golden_test.cpp
+++ b/tests/golden/proxy_golden_test.cpp
@@ -293,10 +293,11 @@
     } else if (draw < 82) {
       send_reply();
     } else if (draw < 87) {
-      run_line(random_client() + " send giveUp " +
-               std::to_string(std::max<std::uint64_t>(1, last_request_ - random_below(5))));
+      const std::uint64_t number = std::max<std::uint64_t>(1, last_request_ - random_below(5));
+      run_line(random_client() + " send giveUp " + std::to_string(number));
     } else if (draw < 89) {
-      run_line(random_client() + (random_below(2) == 0 ? " close" : " close reset"));
+      const std::string ending = random_below(2) == 0 ? " close" : " close reset";
+      run_line(random_client() + ending);
     } else if (draw < 92) {
       const std::string connection = random_cache();
       run_line(connection + " " +
