Count the start of the first stream as the end of a gap, too

A purge issued after the list of known events was written, or between connecting and the head of the stream, was not considered: copies that caches still gave out were served from the proxy's memory until the event was read, however late.

Cause: left the first connection out, and ended the gap of later ones when they were established.

Change: the gap ends with the first byte of each connection. Copies made before it are used once a later purge was read or a cache has sent them again after all missed purges were settled.

--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -53,13 +53,12 @@
 void DiscoveryClient::on_connected() {
   is_connected_ = true;
   last_byte_at_ = last_line_at_ = context_.now;
-  if (std::exchange(was_connected_, true)) unconfirmed_gap_end_ = context_.now;
   context_.write(connection_, codec::write_stream_request(address_, kPath, std::to_string(last_event_)));
 }
 
 std::vector<codec::DiscoveryEvent> DiscoveryClient::on_bytes(std::string_view bytes) {
   last_byte_at_ = context_.now;
-  has_data_ = true;
+  if (!std::exchange(has_data_, true)) unconfirmed_gap_end_ = context_.now;
   timeout_ = initial_timeout_;
   std::vector<codec::DiscoveryEvent> events;
   const std::uint64_t lines_before = reader_.lines();
--- a/src/proxy/discovery/discovery_client.h
+++ b/src/proxy/discovery/discovery_client.h
@@ -37,9 +37,9 @@
   [[nodiscard]] bool is_current() const {
     return is_connected_ && has_data_ && context_.now - last_line_at_ < kDiscoverySilenceLimit;
   }
-  /// Returns the end of a gap in the stream whose events may still be missing: the time of the reconnect,
-  /// until the new stream has shown an invalidation that was issued later. Events arrive in order, so that
-  /// this one follows all that were missed. Neither the head of the stream nor a comment shows that.
+  /// Returns the end of a gap in the stream whose events may still be missing: the time of the first byte of
+  /// this connection, until an invalidation has arrived that was issued later. Events arrive in order, so
+  /// that it follows all that were missed. Neither the head of the stream nor a comment shows that.
   [[nodiscard]] std::optional<Time> unconfirmed_gap_end() const { return unconfirmed_gap_end_; }
   /// Handles a connection that failed or was closed by the discovery service.
   void on_closed(CloseReason reason);
@@ -62,8 +62,7 @@
   std::int64_t gap_after_ = -1;  ///< the event before the last gap
   ConnectionId connection_ = 0;
   bool is_connected_ = false;
-  bool has_data_ = false;       ///< on this connection
-  bool was_connected_ = false;  ///< on this connection or an earlier one
+  bool has_data_ = false;  ///< on this connection
   bool stopped_ = false;
   std::optional<Time> unconfirmed_gap_end_;
   Time opened_at_{0};
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -38,7 +38,7 @@
 }
 
 /// Without current events from the discovery service, a copy may be older than an invalidation that has
-/// already been announced, so that no local copy is used. After a reconnect, those that an invalidation of
+/// already been announced, so that no local copy is used. After each connect, those that an invalidation of
 /// the gap may apply to are not used until the new stream has shown all of them.
 bool RequestDispatcher::has_usable_local_copy(const PendingRequest& pending) const {
   const Request& request = pending.request;
