Serve clients while operators keep connecting

What callers saw: while 40 connections to the admin address were opened again and again, usual clients got no answer at all, 3.5 s where they wait for 2.5 s.

Cause: the source that accepts operators had a higher priority than all others, and GLib dispatches only the ready sources of the highest priority: no client, timer or signal was served while an operator waited.

Change: one priority for all; operators are watched, and so served, first in each iteration. The test demands each answer within the time that its client waits, and all tests of MemoryLimit print the longest wait.

--- a/src/event_loop/acceptor.cpp
+++ b/src/event_loop/acceptor.cpp
@@ -10,20 +10,23 @@
 
 Acceptor::Acceptor(const config::Config& config, Callbacks callbacks) : callbacks_(std::move(callbacks)) {
   client_listener_.emplace("listen", config.listen_address);
-  watch_clients();
-  if (config.admin_address.empty()) return;
-  admin_listener_.emplace("admin_addr", config.admin_address);
-  watch_admin();
+  if (!config.admin_address.empty()) admin_listener_.emplace("admin_addr", config.admin_address);
+  watch_listeners();
+}
+
+/// Operators come first in each iteration, so that their calls don't wait behind client traffic. Both have
+/// the same priority: with a higher one, operators that keep connecting would hold up everything else.
+void Acceptor::watch_listeners() {
+  if (admin_listener_) watch_admin();
+  if (client_listener_) watch_clients();
 }
 
 void Acceptor::watch_clients() {
   client_source_ = watch_socket<&Acceptor::accept_clients>(client_listener_->socket(), G_IO_IN, this);
 }
 
-/// Operators' calls have a higher priority than clients, so that they don't wait behind client traffic.
 void Acceptor::watch_admin() {
-  admin_source_ =
-      watch_socket<&Acceptor::accept_admin>(admin_listener_->socket(), G_IO_IN, this, G_PRIORITY_HIGH);
+  admin_source_ = watch_socket<&Acceptor::accept_admin>(admin_listener_->socket(), G_IO_IN, this);
 }
 
 void Acceptor::accept_clients() {
@@ -77,8 +80,7 @@
 }
 
 SourceAction Acceptor::resume() {
-  if (client_listener_) watch_clients();
-  if (admin_listener_) watch_admin();
+  watch_listeners();
   return SourceAction::remove;
 }
 
--- a/src/event_loop/acceptor.h
+++ b/src/event_loop/acceptor.h
@@ -51,6 +51,7 @@
   void close_admin_listener();
 
  private:
+  void watch_listeners();
   void watch_clients();
   void watch_admin();
   void accept_clients();
--- a/src/event_loop/glib_source.h
+++ b/src/event_loop/glib_source.h
@@ -66,10 +66,9 @@
   return reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(function));
 }
 
-inline Source attach(GSource* unattached, GSourceFunc callback, gpointer owner,
-                     int priority = G_PRIORITY_DEFAULT) {
+inline Source attach(GSource* unattached, GSourceFunc callback, gpointer owner) {
   Source source(unattached);
-  g_source_set_priority(source.get(), priority);
+  g_source_set_priority(source.get(), G_PRIORITY_DEFAULT);
   g_source_set_callback(source.get(), callback, owner, nullptr);
   g_source_attach(source.get(), nullptr);
   return source;
@@ -79,13 +78,12 @@
 
 /// Invokes the callback while the socket meets `condition`.
 template <auto Callback, typename Owner>
-[[nodiscard]] Source watch_socket(GSocket* socket, GIOCondition condition, Owner* owner,
-                                  int priority = G_PRIORITY_DEFAULT) {
+[[nodiscard]] Source watch_socket(GSocket* socket, GIOCondition condition, Owner* owner) {
   const GSocketSourceFunc dispatch = [](GSocket*, GIOCondition, gpointer data) {
     return glib_detail::invoke<Callback, Owner>(data);
   };
   return glib_detail::attach(g_socket_create_source(socket, condition, nullptr),
-                             glib_detail::as_source_func(dispatch), owner, priority);
+                             glib_detail::as_source_func(dispatch), owner);
 }
 
 /// Invokes the callback while the descriptor is readable.
--- a/tests/app/memory_limit_test.cpp
+++ b/tests/app/memory_limit_test.cpp
@@ -115,8 +115,8 @@
     is_over_ = true;
     for (std::thread& thread : threads_) thread.join();
     RecordProperty("peak_kb", static_cast<int>(peak >> 10U));
-    std::printf("peak_kb=%zu answered=%d lost=%d\n", peak >> 10U, counts_.answered.load(),
-                counts_.lost.load());
+    std::printf("peak_kb=%zu answered=%d lost=%d longest_wait_ms=%d\n", peak >> 10U, counts_.answered.load(),
+                counts_.lost.load(), static_cast<int>(counts_.longest_wait_ms));
     EXPECT_LE(peak, static_cast<std::size_t>(GetParam()) << 20U) << program_->log();
     EXPECT_FALSE(program_->has_stopped());
     EXPECT_EQ(counts_.lost, 0);
@@ -124,10 +124,7 @@
   }
 
   /// Each usual client must have had each answer within the time that it waits.
-  void expect_short_waits() const {
-    std::printf("longest_wait_ms=%d\n", static_cast<int>(counts_.longest_wait_ms));
-    EXPECT_LT(counts_.longest_wait_ms, kUsualLimitMs);
-  }
+  void expect_short_waits() const { EXPECT_LT(counts_.longest_wait_ms, kUsualLimitMs); }
 
   /// Announces a message, sends all of it but the last byte and reads until the connection ends.
   void send_incomplete_message() {
@@ -357,6 +354,7 @@
   start();
   add_flood(40, [this](int) { send_incomplete_admin_call(); });
   expect_within_limit();
+  expect_short_waits();
 }
 
 // Guards against large messages that many clients write in small pieces.
