Record that the other process of an upgrade sends a fragile request again

Played with two started processes: the old one sends a request that must not be repeated to a cache, its client leaves and comes to the new one with the same id, which sends it again. Not mended: the two processes share nothing that would tell the new one in time (the overrides file is polled each 0.1 s, and the id may come at once); it needs a record that both can see in memory.

Two guards for picture (d), the time between a new process at a known address and the list that tells of it: a request that may have run is not sent there, neither a fragile one nor a keyed one whose key that process may not know.

--- a/tests/app/edge_proxy_test.cpp
+++ b/tests/app/edge_proxy_test.cpp
@@ -233,6 +233,28 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+std::string with_fragile_orders(std::string config) {
+  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
+  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
+}
+
+// Guards against a request that the old process has sent to a cache and that the new one sends again, when
+// its client leaves and comes to the new process with the same id.
+TEST(EdgeProxyProcess, AFragileRequestIsNotSentAgainByTheOtherProcessOfAnUpgrade) {
+  StartedProgram program({"box-1", "up-1", "main"}, with_fragile_orders);
+  run_scenario(program, "anna send 1 order limit=9000\nbox-1 expect serve 1");
+  program.upgrade();
+  program.terminate_old_process();
+  run_scenario(program, R"(
+    wait 300
+    anna close
+    box-1 expect cancel 1
+    bert send 1 order
+    bert expect failed 1
+    box-1 expect nothing
+  )");
+}
+
 TEST(EdgeProxyProcess, InvalidConfigurationIsReportedAndExitsWithOne) {
   StartedProgram program({"box-1"}, [](std::string config) {
     const std::string key = R"("max_retry_after":500000)";
--- a/tests/proxy/reused_addresses_test.cpp
+++ b/tests/proxy/reused_addresses_test.cpp
@@ -42,5 +42,43 @@
   run_scenario(harness, "edge expect log reason=member_left");
 }
 
+std::string with_fragile_orders(std::string config) {
+  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
+  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
+}
+
+// Guards against a request that may have run in a process that has gone and is sent again to the one that
+// came up at its address, before the list has told of it.
+TEST(ReusedAddresses, ARequestThatMayHaveRunIsNotSentToANewProcessThatTheListHasNotToldOf) {
+  VirtualTimeHarness harness({"box-1", "up-1", "main"}, 192, with_fragile_orders);
+  run_scenario(harness, R"(
+    bulletin send head
+    anna send 1 order
+    box-1 expect serve 1
+    box-1 close reset
+    wait 600
+    box-1 expect nothing
+    anna expect failed 1
+  )");
+}
+
+std::string with_keys_known_in_one_cell(std::string config) {
+  const std::string key = R"("group":"all")";
+  return config.replace(config.find(key), key.size(), R"("group":"cell")");
+}
+
+// Guards against a keyed request that is sent again to such a process, which may not know the key.
+TEST(ReusedAddresses, AKeyedRequestIsNotSentToANewProcessThatMayNotKnowItsKey) {
+  VirtualTimeHarness harness({"box-1", "up-1", "main"}, 192, with_keys_known_in_one_cell);
+  run_scenario(harness, R"(
+    bulletin send head
+    anna send 1 order unique=k
+    box-1 expect serve 1
+    box-1 close reset
+    wait 600
+    box-1 expect nothing
+  )");
+}
+
 }  // namespace
 }  // namespace edge_proxy::test
