--- a/src/proxy/memory_account.cpp
+++ b/src/proxy/memory_account.cpp
@@ -13,8 +13,8 @@
   std::size_t denominator;
 };
 
-/// In the order of MemoryUse. Replies and responses get most, since each is as large as an object. The number
-/// of endpoints is bounded by ResourceLimits instead.
+/// In the order of MemoryUse. Responses get most, then replies, since each is as large as an object. The
+/// number of endpoints is bounded by ResourceLimits instead.
 constexpr std::array<Growth, kMemoryUseCount> kGrowth{{{1, 1}, {1, 1}, {3, 2}, {2, 1}, {1, 4}, {1, 1}}};
 
 constexpr std::array<std::string_view, kMemoryUseCount> kNames{
@@ -26,8 +26,7 @@
 
 std::size_t MemoryAccount::allowance_of(MemoryUse use, std::size_t total) const {
   const Growth& growth = kGrowth[static_cast<std::size_t>(use)];
-  const std::size_t free = total < limit_ ? limit_ - total : 0;
-  return free * growth.numerator / growth.denominator;
+  return free_bytes_at(total) * growth.numerator / growth.denominator;
 }
 
 void MemoryAccount::change(MemoryUse use, std::size_t before, std::size_t after) {
--- a/src/proxy/memory_account.h
+++ b/src/proxy/memory_account.h
@@ -49,11 +49,14 @@
   }
   [[nodiscard]] bool is_over_limit() const { return total_ > limit_; }
   /// Returns what no use holds.
-  [[nodiscard]] std::size_t free_bytes() const { return total_ < limit_ ? limit_ - total_ : 0; }
+  [[nodiscard]] std::size_t free_bytes() const { return free_bytes_at(total_); }
 
  private:
   friend class MemoryCharge;
 
+  [[nodiscard]] std::size_t free_bytes_at(std::size_t total) const {
+    return total < limit_ ? limit_ - total : 0;
+  }
   [[nodiscard]] std::size_t allowance_of(MemoryUse use, std::size_t total) const;
   void change(MemoryUse use, std::size_t before, std::size_t after);
 
--- a/tests/app/edge_proxy_test.cpp
+++ b/tests/app/edge_proxy_test.cpp
@@ -233,11 +233,6 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
-std::string with_fragile_orders(std::string config) {
-  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
-  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
-}
-
 // Guards against a request that the old process has sent to a cache and that the new one sends again, when
 // its client leaves and comes to the new process with the same id.
 TEST(EdgeProxyProcess, AFragileRequestIsNotSentAgainByTheOtherProcessOfAnUpgrade) {
--- a/tests/app/memory_limit_test.cpp
+++ b/tests/app/memory_limit_test.cpp
@@ -128,17 +128,15 @@
 
   /// Announces a message, sends all of it but the last byte and reads until the connection ends.
   void send_incomplete_message() {
-    static const std::string message = std::string("\0\1\0\0", 4) + std::string(0xffff, 'x');
     BlockingClient client(port_);
-    if (!client.is_open() || !client.send(message)) return;
+    if (!client.is_open() || !client.send(incomplete_message())) return;
     wait_for_end_of(client);
   }
 
   /// Sends a request and, behind it, a message without its last byte.
   void send_request_and_incomplete_message(int number) {
-    static const std::string message = std::string("\0\1\0\0", 4) + std::string(0xffff, 'x');
     BlockingClient client(port_);
-    if (!client.is_open() || !client.send(request(number, next_id(number)) + message)) return;
+    if (!client.is_open() || !client.send(request(number, next_id(number)) + incomplete_message())) return;
     wait_for_end_of(client);
   }
 
@@ -250,6 +248,11 @@
   UsualClientCounts counts_;
 
  private:
+  /// Returns a message of the largest size without its last byte.
+  static const std::string& incomplete_message() {
+    static const std::string message = std::string("\0\1\0\0", 4) + std::string(0xffff, 'x');
+    return message;
+  }
   static std::string request(int call, int id, const std::string& limit = std::to_string(kUsualLimitMs)) {
     auto fields = request_fields(id, "pages");
     fields["limit"] = limit;
--- a/tests/golden/proxy_golden_test.cpp
+++ b/tests/golden/proxy_golden_test.cpp
@@ -13,7 +13,7 @@
 #include "consensus/codec.h"
 #include "golden/golden_record.h"
 #include "golden/proxy_trace.h"
-#include "support/virtual_time_harness.h"
+#include "support/reducer_scenarios.h"
 
 namespace edge_proxy::test {
 namespace {
@@ -29,11 +29,6 @@
 
 const std::vector<std::string> kMembers{"box-1", "box-2", "box-3", "up-1", "up-2", "main"};
 
-std::string endpoint_list_event(int number, const std::string& members, bool complete = false) {
-  return R"(bulletin send {"no":)" + std::to_string(number) + R"(,"roster":{"revision":2,"complete":)" +
-         (complete ? "true" : "false") + R"(,"members":[)" + members + "]}}\n";
-}
-
 /// Runs a scenario, by default with one cache, one parent and one origin, and checks its record.
 void check_scenario(const std::string& name, const std::string& scenario,
                     const std::vector<std::string>& members = {"box-1", "up-1", "main"}) {
--- a/tests/proxy/reused_addresses_test.cpp
+++ b/tests/proxy/reused_addresses_test.cpp
@@ -42,11 +42,6 @@
   run_scenario(harness, "edge expect log reason=member_left");
 }
 
-std::string with_fragile_orders(std::string config) {
-  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
-  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
-}
-
 // Guards against a request that may have run in a process that has gone and is sent again to the one that
 // came up at its address, before the list has told of it.
 TEST(ReusedAddresses, ARequestThatMayHaveRunIsNotSentToANewProcessThatTheListHasNotToldOf) {
--- a/tests/proxy/reused_ids_test.cpp
+++ b/tests/proxy/reused_ids_test.cpp
@@ -66,11 +66,6 @@
   )");
 }
 
-std::string with_fragile_orders(std::string config) {
-  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
-  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
-}
-
 // Guards against a request that may have run and is sent again because its id comes again after its client
 // left.
 TEST(ReusedIds, AFragileRequestThatComesAgainAfterItsClientLeftIsNotSentAgain) {
--- a/tests/proxy/slow_readers_test.cpp
+++ b/tests/proxy/slow_readers_test.cpp
@@ -34,7 +34,7 @@
   return count;
 }
 
-/// Returns the number of complete replies in the bytes, and removes nothing.
+/// Returns how often the text stands in the bytes.
 int count_of(const std::string& bytes, const std::string& text) {
   int count = 0;
   for (std::size_t at = bytes.find(text); at != std::string::npos; at = bytes.find(text, at + 1)) ++count;
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -437,4 +437,9 @@
          R"("upper_kind":1},"tick":2000,"weights":"nominal"}})";
 }
 
+std::string with_fragile_orders(std::string config) {
+  const std::string key = R"("effect":"dedup","group":"all","memory_span":2000000)";
+  return config.replace(config.find(key), key.size(), R"("effect":"fragile")");
+}
+
 }  // namespace edge_proxy::test
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -101,6 +101,8 @@
 /// origin. The address of a name is `name:1` unless `addresses` contains it.
 std::string config_text(const std::vector<std::string>& members,
                         const std::map<std::string, std::string>& addresses = {}, int memory_mb = 192);
+/// Changes a configuration so that requests of the class `order` must not be repeated.
+std::string with_fragile_orders(std::string config);
 /// Returns the JSON of one member in an endpoint list.
 std::string member_json(const std::string& id, const std::string& address,
                         const std::string& phase = "active", long long up_since_ms = 0);
