Carry the idempotency key of an attempt instead of reading it back from its fields

Cause: parsed the field `replay` out of the encoded fields of every ended attempt, on the request path and with a word of the wire outside its writer.

Change: the attempt has its key as a field, empty for reads. Behaviour is as before.

--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -192,6 +192,7 @@
     trace(upstream_request.expires_at > now ? "attempt" : "unsent", attempt.request, pending.accepted_epoch);
   }
   upstream_request.reserved_response_bytes = pending.reply_bytes;
+  upstream_request.idempotency_key = pending.key;
   upstream_request.body = pending.body;
   add_attempt_fields(upstream_request.fields, pending, attempt);
 }
--- a/src/proxy/upstream/attempt_table.cpp
+++ b/src/proxy/upstream/attempt_table.cpp
@@ -31,7 +31,7 @@
           .attempt = request.attempt,
           .endpoint = std::move(request.endpoint),
           .source = std::move(request.source),
-          .idempotency_key = std::string(codec::field_in(request.fields.text(), "replay").value_or("")),
+          .idempotency_key = std::move(request.idempotency_key),
           .request_class = request.request_class,
           .decided_at = request.decided_at,
           .result = result,
--- a/src/proxy/upstream/upstream_request.h
+++ b/src/proxy/upstream/upstream_request.h
@@ -25,9 +25,10 @@
 struct UpstreamRequest {
   std::string request;
   int attempt = 0;
-  std::string endpoint;     ///< to which the attempt is sent
-  std::string source;       ///< from which the endpoint fetches; the endpoint itself: its own copy
-  codec::FieldList fields;  ///< all but those that depend on the time of writing
+  std::string endpoint;         ///< to which the attempt is sent
+  std::string source;           ///< from which the endpoint fetches; the endpoint itself: its own copy
+  std::string idempotency_key;  ///< also in `fields`; empty: none
+  codec::FieldList fields;      ///< all but those that depend on the time of writing
   std::string body;
   std::size_t request_class = 0;
   std::uint64_t object = 0;
