--- a/tests/app/edge_proxy_test.cpp
+++ b/tests/app/edge_proxy_test.cpp
@@ -182,6 +182,15 @@
   EXPECT_EQ(program.exit_code(), 0);
 }
 
+/// Waits until the old process of an upgrade has logged the line; returns whether it has.
+bool old_process_logs(StartedProgram& program, const char* line) {
+  const auto deadline = std::chrono::steady_clock::now() + program.expectation_timeout();
+  while (program.old_process_log().find(line) == std::string::npos &&
+         std::chrono::steady_clock::now() < deadline)
+    program.wait(std::chrono::milliseconds(5));
+  return program.old_process_log().find(line) != std::string::npos;
+}
+
 TEST(EdgeProxyProcess, UpgradeRejectsNoClientAndKeepsAdminOverrides) {
   StartedProgram program({"box-1", "box-2", "up-1", "main"});
   // Client anna connects before the second process listens, so the old process gets its request.
@@ -202,14 +211,7 @@
   // box-1 would receive the cancel of request 1 instead of a request of a new client.
   run_scenario(program, "anna send 1 pages limit=9000\nbox-1 expect serve 1\n");
   program.terminate_old_process();
-  const auto old_process_logs = [&program](const char* line) {
-    const auto deadline = std::chrono::steady_clock::now() + program.expectation_timeout();
-    while (program.old_process_log().find(line) == std::string::npos &&
-           std::chrono::steady_clock::now() < deadline)
-      program.wait(std::chrono::milliseconds(5));
-    return program.old_process_log().find(line) != std::string::npos;
-  };
-  ASSERT_TRUE(old_process_logs("stopping open=1")) << program.old_process_log();
+  ASSERT_TRUE(old_process_logs(program, "stopping open=1")) << program.old_process_log();
   // If new connections were distributed over both processes, some would be reset when the old process closes
   // its listening socket after 1 s.
   const auto listener_closed_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(1300);
@@ -240,8 +242,8 @@
   run_scenario(program, "anna send 1 order limit=9000\nbox-1 expect serve 1");
   program.upgrade();
   program.terminate_old_process();
+  ASSERT_TRUE(old_process_logs(program, "stopping open=1")) << program.old_process_log();
   run_scenario(program, R"(
-    wait 300
     anna close
     box-1 expect cancel 1
     bert send 1 order
--- a/tests/proxy/cancelled_clients_test.cpp
+++ b/tests/proxy/cancelled_clients_test.cpp
@@ -3,16 +3,11 @@
 // reset its connection. These tests run in virtual time; instants_test.cpp uses real connections.
 #include <gtest/gtest.h>
 
-#include "support/virtual_time_harness.h"
+#include "support/reducer_scenarios.h"
 
 namespace edge_proxy::test {
 namespace {
 
-std::string without_cancels(std::string config) {
-  const std::string key = R"("cancelling":true)";
-  return config.replace(config.find(key), key.size(), R"("cancelling":false)");
-}
-
 TEST(CancelledClients, RequestReadTogetherWithItsCancelIsNotSent) {
   VirtualTimeHarness harness;
   harness.deliver_unsplit();
--- a/tests/proxy/reused_ids_test.cpp
+++ b/tests/proxy/reused_ids_test.cpp
@@ -2,16 +2,11 @@
 // Requests whose id an earlier request had, in virtual time. Usual clients use each id once.
 #include <gtest/gtest.h>
 
-#include "support/virtual_time_harness.h"
+#include "support/reducer_scenarios.h"
 
 namespace edge_proxy::test {
 namespace {
 
-std::string without_cancels(std::string config) {
-  const std::string key = R"("cancelling":true)";
-  return config.replace(config.find(key), key.size(), R"("cancelling":false)");
-}
-
 // Guards against a response that is delivered as the answer to another request with the same id.
 TEST(ReusedIds, ARequestIsRejectedWhileAnAttemptOfAnEarlierOneIsOpen) {
   VirtualTimeHarness harness({"box-1", "up-1", "main"}, 192, without_cancels);
--- a/tests/proxy/withdrawn_requests_test.cpp
+++ b/tests/proxy/withdrawn_requests_test.cpp
@@ -8,7 +8,7 @@
 
 #include "proxy/resource_limits.h"
 #include "proxy/upstream/upstream_connection.h"
-#include "support/virtual_time_harness.h"
+#include "support/reducer_scenarios.h"
 
 namespace edge_proxy::test {
 namespace {
@@ -139,11 +139,6 @@
   EXPECT_EQ(written_on.size(), 2U);
 }
 
-std::string without_cancels(std::string config) {
-  const std::string key = R"("cancelling":true)";
-  return config.replace(config.find(key), key.size(), R"("cancelling":false)");
-}
-
 // Guards against attempts that outlive their withdrawn requests and are in no memory account, where caches
 // take no cancels.
 TEST(WithdrawnRequests, TheirOpenAttemptsCountAgainstTheMemoryLimit) {
--- a/tests/support/reducer_scenarios.h
+++ b/tests/support/reducer_scenarios.h
@@ -23,4 +23,10 @@
          (complete ? "true" : "false") + R"(,"members":[)" + members + "]}}\n";
 }
 
+/// Changes a configuration so that endpoints take no cancels.
+inline std::string without_cancels(std::string config) {
+  const std::string key = R"("cancelling":true)";
+  return config.replace(config.find(key), key.size(), R"("cancelling":false)");
+}
+
 }  // namespace edge_proxy::test
