Decide the end of a graceful shutdown after the last accept

Cause: the reducer took the listener as closed when it asked for that. With no client left it finished in the same step, and the connections that were then accepted from the system's queue belonged to nobody.

Change: the event loop feeds ListenerClosed after the last Accepted, and the end is decided then. Clients accepted there are served like all others.

Tests: GracefulShutdownEndsAfterAClientThatIsAcceptedWhileTheListenerCloses forces the order; red before (silent client and one that sends probes), green now.

--- a/src/event_loop/server.cpp
+++ b/src/event_loop/server.cpp
@@ -359,6 +359,7 @@
                    Connection::Priority::normal);
     pending_inputs_.emplace_back(proxy::Accepted{accepted.id, accepted.listener});
   });
+  pending_inputs_.emplace_back(proxy::ListenerClosed{});
 }
 
 void Server::perform(const proxy::DrainAndClose& close) { connections_to_drain_.push_back(close.connection); }
--- a/src/proxy/effects.h
+++ b/src/proxy/effects.h
@@ -33,8 +33,8 @@
 struct StopReading {
   ConnectionId connection = 0;
 };
-/// Closes a connection; no input about it follows. Closing the listener ends the program after the last
-/// connection has closed.
+/// Closes a connection; no input about it follows. Closing the listener is answered by ListenerClosed and
+/// ends the program after the last connection has closed.
 struct Close {
   ConnectionId connection = 0;
 };
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -38,7 +38,8 @@
       closes_idle_clients_ = true;
       break;
     case TimerKind::stop_listening:
-      is_listening_ = false;
+      // Clients that have connected by now are accepted while it closes. They are served like all others, so
+      // the end is decided only after on_listener_closed().
       dependencies_.context.close(kListener);
       break;
     case TimerKind::stop_serving:
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -43,6 +43,8 @@
   void begin();
   /// Handles an expired timer of the shutdown; timers of other kinds are ignored.
   void on_timer(TimerKind kind);
+  /// No further client will be accepted.
+  void on_listener_closed() { is_listening_ = false; }
   /// Must be called after each input: closes the client connections without pending requests and, when no
   /// request is pending, everything else.
   void advance();
--- a/src/proxy/inputs.h
+++ b/src/proxy/inputs.h
@@ -24,6 +24,9 @@
   ConnectionId connection = 0;
   ConnectionId listener = kListener;
 };
+/// The listener for clients is closed, after an Accepted for each connection that was established before; no
+/// further one follows.
+struct ListenerClosed {};
 /// The system had no free descriptor for a new connection.
 struct DescriptorsExhausted {};
 /// Bytes arrived on a connection; they are valid only during the call to reduce().
@@ -103,8 +106,8 @@
   std::uint64_t own_raft_id = 0;  ///< Raft id of this proxy
 };
 using Input =
-    std::variant<Accepted, DescriptorsExhausted, BytesArrived, WriteDrained, WriteProgressed, Connected,
-                 ConnectFailed, ConnectionClosed, LoopTimerExpired, ShutdownRequested, Reloaded, ReloadFailed,
-                 OverridesStored, MembershipReady, MembershipInput, ConsensusOutput>;
+    std::variant<Accepted, ListenerClosed, DescriptorsExhausted, BytesArrived, WriteDrained, WriteProgressed,
+                 Connected, ConnectFailed, ConnectionClosed, LoopTimerExpired, ShutdownRequested, Reloaded,
+                 ReloadFailed, OverridesStored, MembershipReady, MembershipInput, ConsensusOutput>;
 
 }  // namespace edge_proxy::proxy
--- a/src/proxy/reducer.cpp
+++ b/src/proxy/reducer.cpp
@@ -296,6 +296,8 @@
 
   void handle(const ShutdownRequested&) { shutdown_.begin(); }
 
+  void handle(const ListenerClosed&) { shutdown_.on_listener_closed(); }
+
   /// Applies the settings that can change at run time. Requests, connections and the position in the event
   /// stream are kept.
   void handle(const Reloaded& input) {
--- a/tests/golden/proxy_trace.cpp
+++ b/tests/golden/proxy_trace.cpp
@@ -400,6 +400,7 @@
 std::string input_text(const proxy::ReloadFailed& input) {
   return RecordLine("reload_failed").add("problem", input.problem).text();
 }
+std::string input_text(const proxy::ListenerClosed&) { return "listener_closed"; }
 std::string input_text(const proxy::OverridesStored& input) {
   RecordLine line("overrides_stored");
   line.add("text", input.overrides.serialize());
--- a/tests/proxy/graceful_shutdown_test.cpp
+++ b/tests/proxy/graceful_shutdown_test.cpp
@@ -55,6 +55,28 @@
   )");
 }
 
+// Guards against a process that has logged "stopped" and lives on: a client that was accepted while the
+// listener closed belonged to nobody, and the process lived as long as that client sent.
+TEST(Reducer, GracefulShutdownEndsAfterAClientThatIsAcceptedWhileTheListenerCloses) {
+  for (const bool is_silent : {true, false}) {
+    VirtualTimeHarness harness;
+    harness.connect_before_listener_closes("anna");
+    run_scenario(harness, "edge send TERM\nwait 1001\n");
+    EXPECT_EQ(harness.log().find("stopped"), std::string::npos) << harness.log();
+    if (is_silent) {
+      run_scenario(harness, "wait 500\nanna expect closed\nedge expect stopped\n");
+      continue;
+    }
+    run_scenario(harness,
+                 "anna send 1 pages\nbox-1 expect serve 1\nbox-1 send HIT 1 ver=a b\nanna expect served 1\n");
+    constexpr int kProbes = 450;  // every 10 ms, for longer than any request may take
+    for (int i = 0; i < kProbes && !harness.has_stopped(); ++i) {
+      run_scenario(harness, "anna send probe 0\nwait 10\n");
+    }
+    EXPECT_TRUE(harness.has_stopped()) << harness.log();
+  }
+}
+
 TEST(Reducer, GracefulShutdownStopsAcceptingAndServesBusyConnections) {
   VirtualTimeHarness harness;
   run_scenario(harness, R"(
--- a/tests/support/virtual_time_harness.h
+++ b/tests/support/virtual_time_harness.h
@@ -110,6 +110,8 @@
       if (peers_[id] == peer && is_open(id)) feed(proxy::WriteProgressed{id, bytes});
     }
   }
+  /// The client connects in the moment before the listener closes, and is accepted while it closes.
+  void connect_before_listener_closes(const std::string& peer) { connected_before_close_.push_back(peer); }
   /// The admin overrides that the edge proxy has stored for its successor process.
   [[nodiscard]] std::string stored_overrides() const { return stored_overrides_.serialize(); }
   /// Delivers admin overrides that another process has stored.
@@ -207,10 +209,20 @@
     resulting_inputs.emplace_back(proxy::ConnectionClosed{shutdown.connection});
   }
   void perform(const proxy::StopReading&, Inputs&) {}
-  void perform(const proxy::Close& close, Inputs&) {
-    if (close.connection == proxy::kListener) is_listening_ = false;
+  void perform(const proxy::Close& close, Inputs& resulting_inputs) {
+    if (close.connection == proxy::kListener) close_listener(resulting_inputs);
     remove(close.connection);
   }
+  /// The system has established connections that were not accepted yet: they come with the close.
+  void close_listener(Inputs& resulting_inputs) {
+    is_listening_ = false;
+    for (const std::string& peer : std::exchange(connected_before_close_, {})) {
+      const proxy::ConnectionId id = last_accepted_ += proxy::kConnectionIdStep;
+      add(peer, id);
+      resulting_inputs.emplace_back(proxy::Accepted{id, proxy::kListener});
+    }
+    resulting_inputs.emplace_back(proxy::ListenerClosed{});
+  }
   void perform(const proxy::DrainAndClose& drain, Inputs& resulting_inputs) {
     const auto unread = unread_.find(drain.connection);
     if (unread != unread_.end()) {
@@ -244,6 +256,7 @@
   Time timer_due_{0};
   proxy::ConnectionId last_accepted_ = proxy::kBeforeFirstAccepted;
   bool is_listening_ = true;
+  std::vector<std::string> connected_before_close_;
   std::map<std::string, std::set<proxy::ConnectionId>> open_connections_;  // by peer
   std::set<proxy::ConnectionId> connection_ids_;                           // open or being opened
   std::map<proxy::ConnectionId, std::string> peers_;
