--- a/tests/support/routing_world.h
+++ b/tests/support/routing_world.h
@@ -155,6 +155,11 @@
   return found;
 }
 
+/// Returns how many requests have got their final answer from the router: a rejection or a failure.
+inline std::size_t final_answer_count(const std::vector<Action>& actions) {
+  return actions_of<Reject>(actions).size() + actions_of<Fail>(actions).size();
+}
+
 inline Attempt World::serve(std::uint64_t object, CacheStatus cache_status) {
   const auto sent = actions_of<Attempt>(handle(request(object)));
   if (sent.empty()) return {};
