Watch the operators' listener again after a pause in a shutdown

If the listener for clients closed while accepting paused for want of descriptors, operators were not accepted any more until the process ended.

Cause: the close also removed the timer that ends the pause.

Test: Acceptor.OperatorsAreAcceptedAfterTheClientListenerClosesDuringAPause (the limit on descriptors lowered in the test process), red before, green now.

--- a/src/event_loop/acceptor.cpp
+++ b/src/event_loop/acceptor.cpp
@@ -90,8 +90,7 @@
 }
 
 void Acceptor::close_client_listener(const std::function<void(AcceptedSocket)>& on_accepted) {
-  client_source_.reset();
-  resume_source_.reset();
+  client_source_.reset();  // after a pause, resume() still has to watch the listener for operators
   if (!client_listener_) return;
   // Closing the socket would reset connections that are established but not accepted yet.
   Error error;
